Let the leader alone watch the store and pass changes on

Ruled out: longer pauses between moves, which would undo what moving gains.

Change: the leader sends changed rows to the members, with the versions they follow on; a member that misses some reads them itself; members watch on their own while they do not hear a leader that reads the store without trouble. The owners record names each server once. Probes of the leader cover servers too.

--- a/src/gateway/cluster_codec.cc
+++ b/src/gateway/cluster_codec.cc
@@ -4,12 +4,14 @@
 #include <cereal/types/array.hpp>
 #include <cereal/types/chrono.hpp>
 #include <cereal/types/string.hpp>
+#include <cereal/types/utility.hpp>
 #include <cereal/types/vector.hpp>
 
 #include <sstream>
 
 #include "core/digest.h"
 #include "core/error.h"
+#include "gateway/packed_owners.h"
 #include "messages/token_archive.h"
 
 namespace foxtail {
@@ -32,13 +34,18 @@
 }
 
 template <typename Archive>
-void serialize(Archive& archive, OwnedRange& m) {  // NOLINT
-  archive(m.m_range, m.m_server, m.m_incarnation, m.m_settled, m.m_previous);
+void serialize(Archive& archive, PackedServer& m) {  // NOLINT
+  archive(m.m_id, m.m_incarnation);
 }
 
 template <typename Archive>
-void serialize(Archive& archive, OwnersRecord& m) {  // NOLINT
-  archive(m.m_epoch, m.m_number, m.m_ranges);
+void serialize(Archive& archive, PackedRange& m) {  // NOLINT
+  archive(m.m_first, m.m_last, m.m_server, m.m_settled);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, PackedOwners& m) {  // NOLINT
+  archive(m.m_epoch, m.m_number, m.m_servers, m.m_ranges, m.m_previous);
 }
 
 template <typename Archive>
@@ -62,17 +69,28 @@
           m.m_loads, m.m_speeds);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, StoredRow& m) {  // NOLINT
+  archive(m.m_key, m.m_value, m.m_version, m.m_removed);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, RowsNews& m) {  // NOLINT
+  archive(m.m_epoch, m.m_kind, m.m_after, m.m_up_to, m.m_rows);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, LeaderDigest& m) {  // NOLINT
   archive(m.m_address, m.m_epoch, m.m_sequence, m.m_report_sent,
-          m.m_lead_version, m.m_leaving, m.m_changes, m.m_operator_read_age,
-          m.m_tokens.m_lifetime, m.m_tokens.m_grants);
+          m.m_lead_version, m.m_leaving, m.m_relaying, m.m_changes,
+          m.m_operator_read_age, m.m_tokens.m_lifetime, m.m_tokens.m_grants);
 }
 
 namespace {
 
 constexpr uint8_t kReportTag = 1;
 constexpr uint8_t kDigestTag = 2;
+constexpr uint8_t kNewsTag = 3;
 
 // The last bytes of an encoded record or message are a hash of the others.
 constexpr size_t kHashBytes = sizeof(uint64_t);
@@ -129,13 +147,16 @@
 }
 
 std::string EncodeRecord(const OwnersRecord& record) {
-  return Encode(record);
+  return Encode(Pack(record));
 }
 
 std::string EncodeMessage(const ClusterMessage& message) {
   if (const auto* report = std::get_if<MemberReport>(&message)) {
     return Encode(kReportTag, *report);
   }
+  if (const auto* news = std::get_if<RowsNews>(&message)) {
+    return Encode(kNewsTag, *news);
+  }
   return Encode(kDigestTag, std::get<LeaderDigest>(message));
 }
 
@@ -148,7 +169,7 @@
 }
 
 OwnersRecord DecodeOwnersRecord(const std::string& bytes) {
-  return Decode<OwnersRecord>(bytes);
+  return Unpack(Decode<PackedOwners>(bytes));
 }
 
 ClusterMessage DecodeClusterMessage(const std::string& bytes) {
@@ -160,6 +181,8 @@
       archive(message.emplace<MemberReport>());
     } else if (tag == kDigestTag) {
       archive(message.emplace<LeaderDigest>());
+    } else if (tag == kNewsTag) {
+      archive(message.emplace<RowsNews>());
     } else {
       throw Error(ErrorCode::kMessageMalformed, "unknown kind");
     }
--- a/src/gateway/cluster_codec.h
+++ b/src/gateway/cluster_codec.h
@@ -8,7 +8,7 @@
 namespace foxtail {
 
 /// A datagram between daemons.
-using ClusterMessage = std::variant<MemberReport, LeaderDigest>;
+using ClusterMessage = std::variant<MemberReport, LeaderDigest, RowsNews>;
 
 /// Encode and decode in a compact binary form. Decoders throw
 /// `Error(kMessageMalformed)`.
--- a/src/gateway/cluster_records.h
+++ b/src/gateway/cluster_records.h
@@ -7,6 +7,7 @@
 
 #include "gateway/server_control.h"
 #include "messages/sync_messages.h"
+#include "store/table_store.h"
 
 namespace foxtail {
 
@@ -122,6 +123,19 @@
   std::vector<ServerSpeed> m_speeds;
 };
 
+/// Datagram from the leader to each member: rows of a watched table that have
+/// changed.
+struct RowsNews {
+  uint64_t m_epoch = 0;
+  uint32_t m_kind = kOperatorRows;
+
+  /// Who knows all changes up to this version knows, with these rows, all up to
+  /// the second one.
+  uint64_t m_after = 0;
+  uint64_t m_up_to = 0;
+  std::vector<StoredRow> m_rows;
+};
+
 /// Datagram from the leader in answer to a report.
 struct LeaderDigest {
   std::string m_address;
@@ -137,6 +151,9 @@
   /// The leader gives its lease back.
   bool m_leaving = false;
 
+  /// The leader reads the store without trouble and passes changes on.
+  bool m_relaying = false;
+
   /// Version of the newest change in each watched table that the leader knows.
   std::array<uint64_t, kWatchedKinds> m_changes{};
 
--- a/src/gateway/control_thread.cc
+++ b/src/gateway/control_thread.cc
@@ -10,6 +10,7 @@
 #include "gateway/leadership_system.h"
 #include "gateway/member_system.h"
 #include "gateway/owners_system.h"
+#include "gateway/relay_system.h"
 #include "runtime/fiber_scheduler.h"
 #include "runtime/fiber_wait.h"
 
@@ -111,7 +112,9 @@
 
 void ControlThread::Watch(WatchedTable& table) {
   while (!m_stopping) {
-    if (!WatchOnce(table)) {
+    if (table.m_read && !RelaySystem::MustWatch(m_tables, ReadClocks())) {
+      m_watch_wanted.WaitUntil(m_tables.m_relayed_until);
+    } else if (!WatchOnce(table)) {
       PauseAfterFailure();
     }
   }
@@ -150,12 +153,8 @@
   if (result.m_version < progress.m_read_up_to) {
     return !complete;
   }
-  progress.m_read_up_to = result.m_version;
-  for (const StoredRow& row : result.m_rows) {
-    progress.m_newest_change =
-        std::max(progress.m_newest_change, row.m_version);
-  }
   table.m_read = true;
+  progress.m_read_at = std::max(progress.m_read_at, sent);
   if (table.m_kind == kOperatorRows) {
     m_tables.m_operators_read_at = std::max(m_tables.m_operators_read_at, sent);
   }
@@ -164,6 +163,27 @@
                    {{"table", table.m_name},
                     {"rows", result.m_rows.size()},
                     {"version", result.m_version}});
+  } else {
+    RelaySystem::OnRead(m_tables, table.m_kind, progress.m_newest_change,
+                        result, ReadClocks());
+  }
+  TakeRows(table, result, complete);
+  return true;
+}
+
+void ControlThread::TakeRows(WatchedTable& table,
+                             const RowsResult& result,
+                             bool complete) {
+  WatchProgress& progress = m_tables.m_progress[table.m_kind];
+  progress.NoteRead(result.m_version);
+  // A whole table does not show removals, so any change up to its version
+  // may be missing at others.
+  if (complete) {
+    progress.m_newest_change = result.m_version;
+  }
+  for (const StoredRow& row : result.m_rows) {
+    progress.m_newest_change =
+        std::max(progress.m_newest_change, row.m_version);
   }
   if (complete || !result.m_rows.empty()) {
     (m_directory.*table.m_apply)(m_tables, result.m_rows, complete,
@@ -171,7 +191,15 @@
     Wake();
   }
   Flush();
-  return true;
+}
+
+void ControlThread::TakeNews(RowsNews news) {
+  const uint32_t kind = news.m_kind;
+  const auto rows =
+      RelaySystem::OnNews(m_tables, std::move(news), ReadClocks());
+  if (rows && m_watched[kind].m_read) {
+    TakeRows(m_watched[kind], *rows, false);
+  }
 }
 
 // A watch may have gone silent without notice, and its silence says nothing
@@ -179,7 +207,8 @@
 void ControlThread::ProbeLoop() {
   while (!m_stopping) {
     for (WatchedTable& table : m_watched) {
-      if (!IsProbeDue(table)) {
+      if (!table.m_read ||
+          !RelaySystem::IsProbeDue(m_tables, table.m_kind, ReadClocks())) {
         continue;
       }
       const BootTime sent = BootClock::now();
@@ -191,23 +220,6 @@
   }
 }
 
-bool ControlThread::IsProbeDue(const WatchedTable& table) const {
-  const Now now = ReadClocks();
-  const OwnershipSettings& settings = m_settings.m_ownership;
-  const WatchProgress& progress = m_tables.m_progress[table.m_kind];
-  if (!table.m_read) {
-    return false;
-  }
-  if (progress.m_behind_since != TimePoint() &&
-      now.m_steady - progress.m_behind_since > settings.m_behind_limit) {
-    return true;
-  }
-  const Duration limit = m_tables.IsLeading(now) ? settings.m_leader_read_age
-                                                 : settings.m_member_read_age;
-  return table.m_kind == kOperatorRows &&
-         now.m_boot - m_tables.m_operators_read_at > limit;
-}
-
 void ControlThread::NoteContact(WatchedTable& table,
                                 bool answered,
                                 StoreOutcome outcome) {
@@ -232,6 +244,9 @@
 void ControlThread::Tick() {
   RunGatewayTick(m_tables, ReadClocks());
   Flush();
+  if (m_tables.IsLeading(ReadClocks())) {
+    m_watch_wanted.Notify();
+  }
 }
 
 // Carries out what systems asked for.
@@ -279,13 +294,17 @@
 void ControlThread::OnDatagram(const std::string& bytes) {
   const Now now = ReadClocks();
   try {
-    const ClusterMessage message = DecodeClusterMessage(bytes);
+    ClusterMessage message = DecodeClusterMessage(bytes);
     if (const auto* report = std::get_if<MemberReport>(&message)) {
       if (auto digest = MemberSystem::OnReport(m_tables, *report, now)) {
-        CarryOut(SendCommand{report->m_address, std::move(*digest)});
+        CarryOut(SendCommand{{report->m_address}, std::move(*digest)});
       }
       return;
     }
+    if (auto* news = std::get_if<RowsNews>(&message)) {
+      TakeNews(std::move(*news));
+      return;
+    }
     const auto& digest = std::get<LeaderDigest>(message);
     LeadershipSystem::OnDigest(m_tables, digest, now);
     MemberSystem::OnDigest(m_tables, digest, now);
@@ -352,10 +371,12 @@
 
 void ControlThread::CarryOut(const SendCommand& command) {
   const std::string bytes = EncodeMessage(command.m_message);
-  boost::system::error_code failure;
-  m_socket->send_to(boost::asio::buffer(bytes), EndpointOf(command.m_address),
-                    0, failure);
-  // A datagram that was not sent is like one that was lost: the next follows.
+  for (const std::string& address : command.m_addresses) {
+    boost::system::error_code failure;
+    m_socket->send_to(boost::asio::buffer(bytes), EndpointOf(address), 0,
+                      failure);
+    // A datagram that was not sent is like one that was lost: the next follows.
+  }
 }
 
 }  // namespace foxtail
--- a/src/gateway/control_thread.h
+++ b/src/gateway/control_thread.h
@@ -87,8 +87,9 @@
                   const RowsResult& result,
                   bool complete,
                   BootTime sent);
+  void TakeRows(WatchedTable& table, const RowsResult& result, bool complete);
+  void TakeNews(RowsNews news);
   void ProbeLoop();
-  bool IsProbeDue(const WatchedTable& table) const;
   void NoteContact(WatchedTable& table, bool answered, StoreOutcome outcome);
   void TickLoop();
   void Tick();
@@ -115,6 +116,9 @@
   std::unique_ptr<boost::asio::ip::udp::socket> m_socket;
   Mailbox m_mailbox;
   FiberEvent m_wake;
+
+  /// This daemon must watch the store itself from now on.
+  FiberEvent m_watch_wanted;
   BootTime m_published_read_at;
   bool m_stopping = false;
   std::thread m_thread;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -87,9 +87,16 @@
 
   /// Age of the configuration at which the leader, and others, read it
   /// themselves. The difference leaves the reading to the leader.
-  Duration m_leader_read_age = std::chrono::milliseconds(900);
+  Duration m_leader_read_age = std::chrono::milliseconds(700);
   Duration m_member_read_age = std::chrono::milliseconds(2300);
 
+  /// Members leave the watching to a leader whose reads are not older than
+  /// this, and to one that was heard not longer ago than this. Together with a
+  /// report period well below the time within which servers must get no new
+  /// work.
+  Duration m_relay_read_age = std::chrono::milliseconds(1000);
+  Duration m_relay_silence = std::chrono::milliseconds(900);
+
   /// Time a change that the leader knows of may be unknown here before the
   /// table is read without waiting for the watch.
   Duration m_behind_limit = std::chrono::milliseconds(300);
--- a/src/gateway/gateway_tables.cc
+++ b/src/gateway/gateway_tables.cc
@@ -2,6 +2,20 @@
 
 namespace foxtail {
 
+void WatchProgress::NoteChange(uint64_t version, TimePoint now) {
+  m_known_change = std::max(m_known_change, version);
+  if (m_known_change > m_read_up_to && m_behind_since == TimePoint()) {
+    m_behind_since = now;
+  }
+}
+
+void WatchProgress::NoteRead(uint64_t version) {
+  m_read_up_to = std::max(m_read_up_to, version);
+  if (m_known_change <= m_read_up_to) {
+    m_behind_since = TimePoint();
+  }
+}
+
 const ServerRow* FindServer(const GatewayTables& tables,
                             const std::string& id) {
   const auto found = tables.m_servers_by_id.find(id);
--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -191,11 +191,22 @@
   /// All changes up to this version of the store were taken in.
   uint64_t m_read_up_to = 0;
 
-  /// Version of the newest change of the table that is known.
+  /// Version of the newest change of the table that was taken in.
   uint64_t m_newest_change = 0;
 
-  /// When the leader was first heard of a change not taken in yet.
+  /// Newest version at which the table is known to have changed, and since when
+  /// it is known while that change is not taken in.
+  uint64_t m_known_change = 0;
   TimePoint m_behind_since;
+
+  /// When this daemon's newest successful read of it was sent.
+  BootTime m_read_at;
+
+  /// A change at this version is known of.
+  void NoteChange(uint64_t version, TimePoint now);
+
+  /// All changes up to this version were taken in.
+  void NoteRead(uint64_t version);
 };
 
 /// What the leader answered this daemon's last report.
@@ -238,9 +249,9 @@
   RowWrite m_write;
 };
 
-/// Sends a datagram.
+/// Sends a datagram to some daemons.
 struct SendCommand {
-  std::string m_address;
+  std::vector<std::string> m_addresses;
   ClusterMessage m_message;
 };
 
@@ -274,6 +285,9 @@
   std::optional<TokenHolder> m_tokens;
   std::array<WatchProgress, kWatchedKinds> m_progress;
 
+  /// The leader passes changes on; until this time nothing need be watched.
+  TimePoint m_relayed_until;
+
   /// When the newest read of the operators' rows, by this daemon or by the
   /// leader, was sent.
   BootTime m_operators_read_at;
--- a/src/gateway/member_system.cc
+++ b/src/gateway/member_system.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "gateway/relay_system.h"
+
 namespace foxtail {
 namespace {
 
@@ -103,12 +105,7 @@
                   const LeaderDigest& digest,
                   const Now& now) {
   for (uint32_t kind = 0; kind < kWatchedKinds; ++kind) {
-    WatchProgress& progress = tables.m_progress[kind];
-    if (digest.m_changes[kind] <= progress.m_read_up_to) {
-      progress.m_behind_since = TimePoint();
-    } else if (progress.m_behind_since == TimePoint()) {
-      progress.m_behind_since = now.m_steady;
-    }
+    tables.m_progress[kind].NoteChange(digest.m_changes[kind], now.m_steady);
   }
   // All changes that the leader knew of are known here, so this daemon's
   // knowledge is as fresh as the leader's was when it answered, which was after
@@ -157,7 +154,7 @@
     }
   } else if (!tables.m_lead.m_record.m_address.empty()) {
     tables.m_outbox.emplace_back(
-        SendCommand{tables.m_lead.m_record.m_address, std::move(report)});
+        SendCommand{{tables.m_lead.m_record.m_address}, std::move(report)});
   }
 }
 
@@ -185,6 +182,8 @@
   digest.m_report_sent = report.m_sent;
   digest.m_lead_version = tables.m_lead.m_row_version;
   digest.m_leaving = tables.m_stopping;
+  digest.m_relaying =
+      !tables.m_stopping && RelaySystem::IsRelaying(tables, now);
   for (uint32_t kind = 0; kind < kWatchedKinds; ++kind) {
     digest.m_changes[kind] = tables.m_progress[kind].m_newest_change;
   }
@@ -204,6 +203,9 @@
     return;
   }
   NoteProgress(tables, digest, now);
+  tables.m_relayed_until =
+      digest.m_relaying ? now.m_steady + tables.m_settings.m_relay_silence
+                        : TimePoint();
   // The clocks of this process tell how long ago the report was sent.
   const Duration ago =
       now.m_boot - BootTime(BootTime::duration(digest.m_report_sent));
--- a/src/gateway/owners_system.cc
+++ b/src/gateway/owners_system.cc
@@ -171,6 +171,7 @@
   service->m_busy = false;
   if (result.m_outcome == StoreOutcome::kDone) {
     service->m_row_version = result.m_version;
+    tables.m_progress[kClusterRows].NoteChange(result.m_version, now.m_steady);
     Advance(tables, id, service->m_record_number);
     tables.m_events.push_back({EventNumber::kAssignmentRecorded,
                                {{"cell", service->m_name},
--- a/tests/gateway/ownership_test.cc
+++ b/tests/gateway/ownership_test.cc
@@ -190,6 +190,7 @@
   GatewayWorld world(5, 6, GetParam());
   world.m_lost_answers = 0.1;
   world.m_late_grants = 0.05;
+  world.m_lost_datagrams = 0.05;
   world.Run(seconds(3));
   for (int i = 0; i < 60; ++i) {
     const size_t host = below(5);
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -90,6 +90,29 @@
   }
 }
 
+TEST(ClusterCodecTest, OwnersRecordsSurviveEncoding) {
+  OwnersRecord owners;
+  owners.m_epoch = 3;
+  owners.m_number = 9;
+  owners.m_ranges.push_back({{0, 99}, "i-1", 17, true, {}});
+  owners.m_ranges.push_back({{100, 199}, "i-2", 18, false, {"i-1", "i-3"}});
+  owners.m_ranges.push_back({{200, 65535}, "i-1", 19, true, {}});
+  EXPECT_EQ(DecodeOwnersRecord(EncodeRecord(owners)), owners);
+}
+
+// Each server is named once, however many ranges it owns.
+TEST(ClusterCodecTest, OwnersRecordsAreSmall) {
+  OwnersRecord owners;
+  for (uint32_t i = 0; i < 64; ++i) {
+    owners.m_ranges.push_back({{i * 1024, i * 1024 + 1023},
+                               "i-000000000" + std::to_string(i % 8),
+                               1,
+                               true,
+                               {}});
+  }
+  EXPECT_LT(EncodeRecord(owners).size(), 64 * 8 + 8 * 28 + 64);
+}
+
 // Cut and changed bytes are refused with a typed error, or accepted; nothing
 // else happens.
 TEST(DecoderFuzzTest, ChangedBytesAreRefusedOrAccepted) {
--- a/tests/support/gateway_world.cc
+++ b/tests/support/gateway_world.cc
@@ -8,6 +8,7 @@
 #include "gateway/leadership_system.h"
 #include "gateway/member_system.h"
 #include "gateway/owners_system.h"
+#include "gateway/relay_system.h"
 #include "gateway/routing_snapshot.h"
 
 namespace foxtail {
@@ -112,7 +113,6 @@
   fake.m_tables.m_self = {HostAddress(host), std::to_string(fake.m_incarnation),
                           "dc-0"};
   fake.m_tables.m_started = m_now;
-  fake.m_watched = {};
   fake.m_next_report = m_now;
 }
 
@@ -163,31 +163,58 @@
   if (!ReachesStore(host)) {
     return;
   }
-  FakeHost& fake = m_hosts[host];
+  const GatewayTables& tables = m_hosts[host].m_tables;
+  for (uint32_t i = 0; i < kWatchedKinds; ++i) {
+    const auto kind = static_cast<WatchedKind>(i);
+    if (tables.m_progress[kind].m_read_up_to == 0 ||
+        RelaySystem::MustWatch(tables, ReadNow()) ||
+        RelaySystem::IsProbeDue(tables, kind, ReadNow())) {
+      ReadChanges(host, kind);
+    }
+  }
+}
+
+// Stands for a watch, which answers at once when there are changes, and for a
+// probe.
+void GatewayWorld::ReadChanges(size_t host, WatchedKind kind) {
+  GatewayTables& tables = m_hosts[host].m_tables;
+  WatchProgress& progress = tables.m_progress[kind];
   const std::array<std::string, kWatchedKinds> names = {
       m_decoder.OperatorTable(), m_decoder.ServerTable(), kClusterTable};
-  for (uint32_t kind = 0; kind < kWatchedKinds; ++kind) {
-    std::vector<StoredRow> rows;
-    for (const auto& [key, value] : m_rows) {
-      if (key.first == names[kind] && value.m_version > fake.m_watched[kind]) {
-        rows.push_back(
-            {key.second, value.m_value, value.m_version, value.m_removed});
-      }
-    }
-    fake.m_watched[kind] = m_version;
-    WatchProgress& progress = fake.m_tables.m_progress[kind];
-    progress.m_read_up_to = std::max<uint64_t>(1, m_version);
-    if (rows.empty()) {
-      continue;
-    }
-    if (kind == kOperatorRows) {
-      m_directory.OnOperatorRows(fake.m_tables, rows, false, ReadNow());
-    } else if (kind == kServerRows) {
-      m_directory.OnServerRows(fake.m_tables, rows, false, ReadNow());
-    } else {
-      m_directory.OnClusterRows(fake.m_tables, rows, false, ReadNow());
+  RowsResult result{StoreOutcome::kDone, {}, std::max<uint64_t>(1, m_version)};
+  for (const auto& [key, value] : m_rows) {
+    if (key.first == names[kind] && value.m_version > progress.m_read_up_to) {
+      result.m_rows.push_back(
+          {key.second, value.m_value, value.m_version, value.m_removed});
     }
   }
+  m_reads += result.m_rows.empty() ? 0 : 1;
+  progress.m_read_at = ReadNow().m_boot;
+  RelaySystem::OnRead(tables, kind, progress.m_newest_change, result,
+                      ReadNow());
+  TakeRows(host, kind, result);
+}
+
+void GatewayWorld::TakeRows(size_t host,
+                            WatchedKind kind,
+                            const RowsResult& result) {
+  GatewayTables& tables = m_hosts[host].m_tables;
+  WatchProgress& progress = tables.m_progress[kind];
+  progress.NoteRead(result.m_version);
+  for (const StoredRow& row : result.m_rows) {
+    progress.m_newest_change =
+        std::max(progress.m_newest_change, row.m_version);
+  }
+  if (result.m_rows.empty()) {
+    return;
+  }
+  if (kind == kOperatorRows) {
+    m_directory.OnOperatorRows(tables, result.m_rows, false, ReadNow());
+  } else if (kind == kServerRows) {
+    m_directory.OnServerRows(tables, result.m_rows, false, ReadNow());
+  } else {
+    m_directory.OnClusterRows(tables, result.m_rows, false, ReadNow());
+  }
 }
 
 // Results reach only the process that asked.
@@ -332,27 +359,34 @@
 }
 
 void GatewayWorld::CarryOut(size_t host, const SendCommand& command) {
-  size_t target = m_hosts.size();
-  for (size_t i = 0; i < m_hosts.size(); ++i) {
-    target = HostAddress(i) == command.m_address ? i : target;
-  }
-  if (target == m_hosts.size() || m_hosts[host].m_cut ||
-      m_hosts[target].m_cut) {
-    return;
+  std::uniform_real_distribution<double> chance(0, 1);
+  for (size_t target = 0; target < m_hosts.size(); ++target) {
+    const bool addressed =
+        std::ranges::count(command.m_addresses, HostAddress(target)) > 0;
+    if (addressed && !m_hosts[host].m_cut && !m_hosts[target].m_cut &&
+        chance(m_random) >= m_lost_datagrams) {
+      Later(target, kNetworkDelay,
+            [this, target, command] { Receive(target, command.m_message); });
+    }
   }
-  Later(target, kNetworkDelay, [this, target, command] {
-    GatewayTables& tables = m_hosts[target].m_tables;
-    const Now now = ReadNow();
-    if (const auto* report = std::get_if<MemberReport>(&command.m_message)) {
-      if (auto digest = MemberSystem::OnReport(tables, *report, now)) {
-        Carry(target, SendCommand{report->m_address, *digest});
-      }
-      return;
+}
+
+void GatewayWorld::Receive(size_t host, const ClusterMessage& message) {
+  GatewayTables& tables = m_hosts[host].m_tables;
+  const Now now = ReadNow();
+  if (const auto* report = std::get_if<MemberReport>(&message)) {
+    if (auto digest = MemberSystem::OnReport(tables, *report, now)) {
+      Carry(host, SendCommand{{report->m_address}, *digest});
     }
-    const auto& digest = std::get<LeaderDigest>(command.m_message);
+  } else if (const auto* news = std::get_if<RowsNews>(&message)) {
+    if (const auto rows = RelaySystem::OnNews(tables, *news, now)) {
+      TakeRows(host, static_cast<WatchedKind>(news->m_kind), *rows);
+    }
+  } else {
+    const auto& digest = std::get<LeaderDigest>(message);
     LeadershipSystem::OnDigest(tables, digest, now);
     MemberSystem::OnDigest(tables, digest, now);
-  });
+  }
 }
 
 void GatewayWorld::CheckHolds() {
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -63,7 +63,6 @@
   /// Cut off from the other hosts.
   bool m_cut = false;
   uint64_t m_incarnation = 0;
-  std::array<uint64_t, kWatchedKinds> m_watched{};
   TimePoint m_next_report;
 
   /// Loads that its reports tell.
@@ -107,6 +106,12 @@
   /// Part of the grants that are not answered and carried out this late.
   double m_late_grants = 0;
   Duration m_late_by = std::chrono::seconds(3);
+
+  /// Part of the datagrams between hosts that are lost.
+  double m_lost_datagrams = 0;
+
+  /// Reads of the watched tables by all hosts.
+  size_t m_reads = 0;
   size_t m_double_holds = 0;
   TimePoint m_now = TimePoint() + std::chrono::hours(1);
 
@@ -120,12 +125,15 @@
   void Step();
   void RunHost(size_t host);
   void DeliverWatches(size_t host);
+  void ReadChanges(size_t host, WatchedKind kind);
+  void TakeRows(size_t host, WatchedKind kind, const RowsResult& result);
   void Carry(size_t host, const ControlCommand& command);
   void CarryOut(size_t host, const GrantCommand& command);
   void CarryOut(size_t host, const ReleaseCommand& command);
   void CarryOut(size_t host, const ReadRowCommand& command);
   void CarryOut(size_t host, const WriteRowCommand& command);
   void CarryOut(size_t host, const SendCommand& command);
+  void Receive(size_t host, const ClusterMessage& message);
   OrderOutcome Apply(size_t server, const GrantCommand& command);
   void CheckHolds();
   void Later(size_t host, Duration delay, std::function<void()> action);
