Let strong hosts lead; fill servers by whole pieces; outlive a hang-up signal

Traced: a host of a tenth of a core led and could not renew its lease beside its grants; servers that came one by one were each filled with several slivers of one slice, which doubled the ranges to be renewed; the programs did not handle SIGHUP, whose default ends a process.

Ruled out: memory over the limit as the cause of the exits (32 MB at most).

Change: hosts tell their processor time, and those with more come first for the lease; an empty server takes pieces of at least 0.4 of an even share; a hang-up signal leaves one line in the log.

--- a/src/apps/foxtail_control.cc
+++ b/src/apps/foxtail_control.cc
@@ -158,7 +158,8 @@
   GreetPeers(settings, loop, stopping);
   events.Write(EventNumber::kProcessStarted, {{"address", settings.m_listen}});
   StartFiber([&] {
-    WaitForStopSignal();
+    WaitForStopSignal(
+        [&events] { events.Write(EventNumber::kSettingsKept, {}); });
     events.Write(EventNumber::kProcessStopping, {});
     stopping = true;
     loop.Stop();
--- a/src/apps/foxtail_entry.cc
+++ b/src/apps/foxtail_entry.cc
@@ -95,7 +95,8 @@
   StartFiber([&control] { control.Loop(); });
   control.Start();
   events.Write(EventNumber::kProcessStarted, {{"address", settings.m_listen}});
-  WaitForStopSignal();
+  WaitForStopSignal(
+      [&events] { events.Write(EventNumber::kSettingsKept, {}); });
   events.Write(EventNumber::kProcessStopping, {});
   const bool clean = StopGracefully(settings, control, threads);
   events.Write(EventNumber::kProcessStopped, {});
--- a/src/apps/foxtail_gateway.cc
+++ b/src/apps/foxtail_gateway.cc
@@ -18,6 +18,7 @@
 // A port of 0 or an address that is used twice would only show at the start, or
 // not at all.
 int CheckSettings(const GatewaySettings& settings) {
+  ProcessorShareOf(settings);
   const std::vector<std::pair<std::string, std::string>> addresses = {
       {"listen", settings.m_listen},
       {"ready", settings.m_ready},
@@ -60,7 +61,8 @@
   traffic.Start(control);
   control.Start();
   events.Write(EventNumber::kProcessStarted, {{"address", settings.m_listen}});
-  WaitForStopSignal();
+  WaitForStopSignal(
+      [&events] { events.Write(EventNumber::kSettingsKept, {}); });
   events.Write(EventNumber::kProcessStopping, {});
   control.Leave();
   const bool clean = traffic.Stop();
--- a/src/apps/program.h
+++ b/src/apps/program.h
@@ -60,10 +60,26 @@
   }
 }
 
-/// Waits on the calling fiber until the process is asked to stop.
-inline void WaitForStopSignal() {
-  boost::asio::signal_set signals(ThreadIo(), SIGINT, SIGTERM);
-  AwaitOperation([&](auto handler) { signals.async_wait(handler); });
+/// Waits on the calling fiber until the process is asked to stop. A hang-up
+/// signal, which would end the process otherwise, calls `on_reload`.
+inline void WaitForStopSignal(const std::function<void()>& on_reload) {
+  boost::asio::signal_set signals(ThreadIo(), SIGINT, SIGTERM, SIGHUP);
+  int number = SIGHUP;
+  while (number == SIGHUP) {
+    const boost::system::error_code failure = AwaitOperation([&](auto handler) {
+      signals.async_wait(
+          [&number, handler](const auto& error, int signal) mutable {
+            number = signal;
+            handler(error);
+          });
+    });
+    if (failure) {
+      return;
+    }
+    if (number == SIGHUP) {
+      on_reload();
+    }
+  }
 }
 
 }  // namespace foxtail
--- a/src/apps/standin_main.h
+++ b/src/apps/standin_main.h
@@ -18,7 +18,7 @@
   settings.m_body_limit = body_limit;
   HttpServer server(ParseAddress(listen), settings, std::move(handler));
   server.Start();
-  WaitForStopSignal();
+  WaitForStopSignal([] {});
   std::_Exit(kExitDone);
 }
 
--- a/src/core/event.cc
+++ b/src/core/event.cc
@@ -23,6 +23,8 @@
               "A planned stop began; health now fails."},
     EventInfo{kProcessStopped, "process_stopped", "",
               "The planned stop is complete."},
+    EventInfo{kSettingsKept, "settings_kept", "",
+              "A hang-up signal arrived; settings are read at the start only."},
     EventInfo{kControlLeaseAcquired, "control_lease_acquired", "cell epoch",
               "This process controls the cell from now on."},
     EventInfo{kControlLeaseLost, "control_lease_lost", "cell epoch",
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -20,6 +20,7 @@
   kProcessStarted = 100,
   kProcessStopping = 101,
   kProcessStopped = 102,
+  kSettingsKept = 103,
   kControlLeaseAcquired = 200,
   kControlLeaseLost = 201,
   kControlLeaseExtended = 202,
--- a/src/gateway/cluster_codec.cc
+++ b/src/gateway/cluster_codec.cc
@@ -25,7 +25,7 @@
 
 template <typename Archive>
 void serialize(Archive& archive, MemberRecord& m) {  // NOLINT
-  archive(m.m_address, m.m_incarnation, m.m_data_centre);
+  archive(m.m_address, m.m_incarnation, m.m_data_centre, m.m_processor_share);
 }
 
 template <typename Archive>
--- a/src/gateway/cluster_records.h
+++ b/src/gateway/cluster_records.h
@@ -32,6 +32,9 @@
   std::string m_incarnation;
   std::string m_data_centre;
 
+  /// Processor time of the host, in cores.
+  double m_processor_share = 1;
+
   bool operator==(const MemberRecord&) const = default;
 };
 
--- a/src/gateway/control_thread.cc
+++ b/src/gateway/control_thread.cc
@@ -62,8 +62,8 @@
       m_listener(listener),
       m_events(events) {
   m_tables.m_settings = settings.m_ownership;
-  m_tables.m_self = {settings.m_internal, RandomToken(),
-                     settings.m_data_centre};
+  m_tables.m_self = {settings.m_internal, RandomToken(), settings.m_data_centre,
+                     ProcessorShareOf(settings)};
   m_watched = {{kOperatorRows, decoder.OperatorTable(),
                 &DirectorySystem::OnOperatorRows},
                {kServerRows, decoder.ServerTable(),
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -1,6 +1,9 @@
 #include "gateway/gateway_settings.h"
 
 #include <array>
+#include <charconv>
+
+#include "core/error.h"
 
 namespace foxtail {
 namespace {
@@ -10,7 +13,7 @@
 constexpr uint32_t kTextLimit = 4096;    // characters
 constexpr uint32_t kTimeLimit = 60'000;  // milliseconds
 
-constexpr std::array<SettingRow<S>, 12> kRows = {{
+constexpr std::array<SettingRow<S>, 13> kRows = {{
     {"listen", "FOXTAIL_GATEWAY_LISTEN", "text", 9, 64,
      "IP:PORT that clients connect to", &S::m_listen},
     {"ready", "FOXTAIL_GATEWAY_READY", "text", 9, 64,
@@ -35,12 +38,30 @@
      "longest time of a planned stop", &S::m_stop_timeout},
     {"connection-limit", "FOXTAIL_GATEWAY_CONNECTION_LIMIT", "connections", 1,
      1'000'000, "connections of clients at once", &S::m_connection_limit},
+    {"processor-share", "FOXTAIL_GATEWAY_PROCESSOR_SHARE", "cores", 1, 16,
+     "processor time of this host, a decimal number; hosts with more lead "
+     "first",
+     &S::m_processor_share},
     {"retry-percent", "FOXTAIL_GATEWAY_RETRY_PERCENT", "percent", 0, 100,
      "retries for each hundred first attempts", &S::m_retry_percent},
 }};
 
 }  // namespace
 
+double ProcessorShareOf(const GatewaySettings& settings) {
+  const std::string& text = settings.m_processor_share;
+  double share = 0;
+  const auto result =
+      std::from_chars(text.data(), text.data() + text.size(), share);
+  if (result.ec != std::errc() || result.ptr != text.data() + text.size() ||
+      share <= 0) {
+    throw Error(ErrorCode::kSettingInvalid,
+                "--processor-share = '" + text +
+                    "'; allowed: a decimal number above 0");
+  }
+  return share;
+}
+
 std::span<const SettingRow<GatewaySettings>> GatewaySettingRows() {
   return kRows;
 }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -120,6 +120,7 @@
   std::string m_store = "127.0.0.1:18304";
   std::string m_data_centre = "local";
   std::string m_log_file = "-";
+  std::string m_processor_share = "1";
 
   /// Age of the configuration beyond which requests with an API key are
   /// refused, so that a withdrawn key stops working.
@@ -141,6 +142,10 @@
   OwnershipSettings m_ownership;
 };
 
+/// Returns the processor time of this host, in cores. Throws
+/// `Error(kSettingInvalid)`.
+double ProcessorShareOf(const GatewaySettings& settings);
+
 /// The rows of all settings.
 std::span<const SettingRow<GatewaySettings>> GatewaySettingRows();
 
--- a/src/gateway/leadership_system.cc
+++ b/src/gateway/leadership_system.cc
@@ -1,5 +1,7 @@
 #include "gateway/leadership_system.h"
 
+#include <algorithm>
+
 #include "core/error.h"
 
 namespace foxtail {
@@ -9,6 +11,15 @@
 // leader that lost it waits before it competes again.
 constexpr std::chrono::seconds kAbstention{5};
 
+// Members after this many wait no longer than it.
+constexpr uint32_t kLastRank = 10;
+
+// Hosts with less than this, in cores, wait up to the pause below before they
+// take a free lease: leading hundreds of servers takes about a tenth of a core,
+// and at the first start nobody knows of stronger hosts yet.
+constexpr double kStrongHost = 0.5;
+constexpr std::chrono::milliseconds kWeakHostPause{250};
+
 // A fencing token is the leader's epoch followed by a number of its own.
 constexpr uint32_t kFenceBits = 24;
 
@@ -57,12 +68,25 @@
   tables.m_members.ForEach([](MemberId, MemberRow& row) { row.m_heard = {}; });
 }
 
+// Strong hosts come first.
+bool ComesBefore(const MemberRecord& a, const MemberRecord& b) {
+  return a.m_processor_share != b.m_processor_share
+             ? a.m_processor_share > b.m_processor_share
+             : a.m_address < b.m_address;
+}
+
 uint32_t RankOfSelf(const GatewayTables& tables) {
   uint32_t rank = 0;
   tables.m_members.ForEach([&](MemberId, const MemberRow& row) {
-    rank += row.m_record.m_address < tables.m_self.m_address ? 1 : 0;
+    rank += ComesBefore(row.m_record, tables.m_self) ? 1 : 0;
   });
-  return rank;
+  return std::min(rank, kLastRank);
+}
+
+Duration WeakHostPause(const GatewayTables& tables) {
+  const double weakness =
+      std::max(0.0, 1 - tables.m_self.m_processor_share / kStrongHost);
+  return std::chrono::duration_cast<Duration>(kWeakHostPause * weakness);
 }
 
 void WriteLead(GatewayTables& tables, LeadRecord record, const Now& now) {
@@ -106,6 +130,11 @@
     tables.WakeAt(silent_at);
     return;
   }
+  const TimePoint first_try = tables.m_started + WeakHostPause(tables);
+  if (now.m_steady < first_try) {
+    tables.WakeAt(first_try);
+    return;
+  }
   if (now.m_steady < lead.m_next_operation) {
     tables.WakeAt(lead.m_next_operation);
     return;
--- a/src/gateway/range_planner.cc
+++ b/src/gateway/range_planner.cc
@@ -11,6 +11,10 @@
 // the number of ranges stays small.
 constexpr double kSmallestPiece = 0.15;
 
+// An empty server takes pieces of at least this part of an even share: smaller
+// ones from more servers would multiply the grants to be renewed.
+constexpr double kFillPiece = 0.4;
+
 // An empty server is filled up to this part of its target; more would only move
 // keys that the next change moves back.
 constexpr double kFillTarget = 0.85;
@@ -242,11 +246,13 @@
     if (bin.m_load > 0) {
       continue;
     }
-    while (bin.m_load < target) {
+    // Less than the smallest piece is not worth a range of its own.
+    while (bin.m_load == 0 || target - bin.m_load > SmallestPiece(bins)) {
       const auto donor = HighestBin(bins);
       const double wanted =
           std::min(target - bin.m_load,
-                   std::max(-donor->second.Room(), SmallestPiece(bins)));
+                   std::max(-donor->second.Room(),
+                            kFillPiece / static_cast<double>(bins.size())));
       if (donor->first == id ||
           MovePiece(ranges, bins, donor->first, id, wanted, weights) <= 0) {
         break;
--- a/tests/gateway/ownership_test.cc
+++ b/tests/gateway/ownership_test.cc
@@ -17,6 +17,24 @@
   EXPECT_EQ(world.m_double_holds, 0U);
 }
 
+// Found on a day with many servers: a host of a tenth of a core led, could not
+// renew its lease beside all grants, and the lease went from one such host to
+// the next.
+TEST(GatewayOwnershipTest, AStrongHostLeads) {
+  GatewayWorld world(6, 6);
+  for (size_t host = 0; host < 6; ++host) {
+    world.m_hosts[host].m_processor_share = host % 3 == 2 ? 0.5 : 0.1;
+    world.Start(host);
+  }
+  world.Run(seconds(3));
+  const size_t first = world.Leader();
+  EXPECT_EQ(first % 3, 2U);
+  world.Kill(first);
+  world.Run(seconds(4));
+  EXPECT_EQ(world.Leader() % 3, 2U);
+  EXPECT_NE(world.Leader(), first);
+}
+
 TEST(GatewayOwnershipTest, KeysStayOwnedWhenTheLeaderIsKilled) {
   GatewayWorld world(5, 6);
   world.Run(seconds(3));
--- a/tests/gateway/range_planner_test.cc
+++ b/tests/gateway/range_planner_test.cc
@@ -77,6 +77,20 @@
   EXPECT_GT(LoadOf(plan, "server-5", weights), 0.1);
 }
 
+// Found on a day with hundreds of servers that came one by one: each was filled
+// by one piece and a slice, which doubled the number of ranges to be renewed.
+TEST(RangePlannerTest, ServersThatComeOneByOneGetFewRanges) {
+  const SliceWeights weights;
+  std::vector<PlannedRange> plan = {{{0, kShardKeys - 1}, ""}};
+  for (size_t count = 1; count <= 60; ++count) {
+    plan = FillPlanner().Plan(plan, Servers(count), weights);
+  }
+  ExpectCover(plan);
+  // A leader with half a core and hundreds of servers spends a third of it on
+  // renewals at three ranges a server, 0.25 ms an order.
+  EXPECT_LE(plan.size(), 3 * 60U);
+}
+
 // Load pattern: busy keys next to one another at one server. The baseline moves
 // nothing.
 TEST(RangePlannerTest, BusyKeysAreRelieved) {
--- a/tests/integration/gateway_test.cc
+++ b/tests/integration/gateway_test.cc
@@ -139,6 +139,16 @@
   EXPECT_EQ(m_served.size(), 1U);
 }
 
+// Found on a day with many hosts: the signal ended the process.
+TEST_F(GatewayTest, AHangUpSignalChangesNothing) {
+  WriteDirectory();
+  ASSERT_TRUE(AwaitReady(200));
+  m_gateway.Signal(SIGHUP);
+  m_gateway.Signal(SIGHUP);
+  EXPECT_TRUE(AwaitReady(200));
+  EXPECT_EQ(m_gateway.Terminate(), 0);
+}
+
 // Found in an incident: a watch of the store that waits for 25 s held the exit
 // up until the platform killed the process.
 TEST_F(GatewayTest, APlannedStopDoesNotWaitForTheStore) {
--- a/tests/support/gateway_world.cc
+++ b/tests/support/gateway_world.cc
@@ -111,7 +111,7 @@
   ++fake.m_incarnation;
   fake.m_tables = GatewayTables();
   fake.m_tables.m_self = {HostAddress(host), std::to_string(fake.m_incarnation),
-                          "dc-0"};
+                          "dc-0", fake.m_processor_share};
   fake.m_tables.m_started = m_now;
   fake.m_next_report = m_now;
 }
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -56,6 +56,7 @@
 struct FakeHost {
   GatewayTables m_tables;
   bool m_up = true;
+  double m_processor_share = 1;
 
   /// The store refuses this host, or neither end hears the other.
   bool m_store_refuses = false;
