Count the leader's contact with the store at hosts that it passes rows on to

Ruled out: lost news (the removal was taken in within 4 ms).

Change: the leader tells how long it has read servers' rows without a gap; that counts where its rows are passed on. The test fails without it.

--- a/src/gateway/cluster_codec.cc
+++ b/src/gateway/cluster_codec.cc
@@ -82,8 +82,9 @@
 template <typename Archive>
 void serialize(Archive& archive, LeaderDigest& m) {  // NOLINT
   archive(m.m_address, m.m_epoch, m.m_sequence, m.m_report_sent,
-          m.m_lead_version, m.m_leaving, m.m_relaying, m.m_changes,
-          m.m_operator_read_age, m.m_tokens.m_lifetime, m.m_tokens.m_grants);
+          m.m_lead_version, m.m_leaving, m.m_relaying, m.m_servers_contact_age,
+          m.m_changes, m.m_operator_read_age, m.m_tokens.m_lifetime,
+          m.m_tokens.m_grants);
 }
 
 namespace {
--- a/src/gateway/cluster_records.h
+++ b/src/gateway/cluster_records.h
@@ -157,6 +157,10 @@
   /// The leader reads the store without trouble and passes changes on.
   bool m_relaying = false;
 
+  /// For how long the leader has read the servers' rows without a gap,
+  /// milliseconds.
+  uint32_t m_servers_contact_age = 0;
+
   /// Version of the newest change in each watched table that the leader knows.
   std::array<uint64_t, kWatchedKinds> m_changes{};
 
--- a/src/gateway/control_thread.cc
+++ b/src/gateway/control_thread.cc
@@ -113,6 +113,8 @@
 void ControlThread::Watch(WatchedTable& table) {
   while (!m_stopping) {
     if (table.m_read && !RelaySystem::MustWatch(m_tables, ReadClocks())) {
+      // Own trouble with the store no longer matters.
+      table.m_failing = false;
       m_watch_wanted.WaitUntil(m_tables.m_relayed_until);
     } else if (!WatchOnce(table)) {
       PauseAfterFailure();
--- a/src/gateway/member_system.cc
+++ b/src/gateway/member_system.cc
@@ -1,6 +1,7 @@
 #include "gateway/member_system.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "gateway/relay_system.h"
 
@@ -9,6 +10,12 @@
 
 using std::chrono::milliseconds;
 
+uint32_t WholeMilliseconds(Duration duration) {
+  constexpr int64_t kMost = std::numeric_limits<uint32_t>::max() - 1;
+  const auto whole = std::chrono::duration_cast<milliseconds>(duration);
+  return static_cast<uint32_t>(std::clamp<int64_t>(whole.count(), 0, kMost));
+}
+
 void RegisterSelf(GatewayTables& tables, const Now& now) {
   if (tables.m_member_listed || tables.m_member_busy || tables.m_stopping ||
       tables.m_progress[kClusterRows].m_read_up_to == 0) {
@@ -187,11 +194,11 @@
   for (uint32_t kind = 0; kind < kWatchedKinds; ++kind) {
     digest.m_changes[kind] = tables.m_progress[kind].m_newest_change;
   }
-  const auto age = std::chrono::duration_cast<milliseconds>(
-      now.m_boot - tables.m_operators_read_at);
   // One more than the whole milliseconds, so that it is never too young.
   digest.m_operator_read_age =
-      static_cast<uint32_t>(std::min<int64_t>(age.count() + 1, UINT32_MAX));
+      WholeMilliseconds(now.m_boot - tables.m_operators_read_at) + 1;
+  digest.m_servers_contact_age =
+      WholeMilliseconds(now.m_steady - tables.m_servers_contact_since);
   digest.m_tokens = ServeTokens(tables, report, now);
   return digest;
 }
@@ -203,9 +210,13 @@
     return;
   }
   NoteProgress(tables, digest, now);
-  tables.m_relayed_until =
-      digest.m_relaying ? now.m_steady + tables.m_settings.m_relay_silence
-                        : TimePoint();
+  tables.m_relayed_until = TimePoint();
+  if (digest.m_relaying) {
+    tables.m_relayed_until = now.m_steady + tables.m_settings.m_relay_silence;
+    // The rows are the leader's, so its contact with the store counts.
+    tables.m_servers_contact_since =
+        now.m_steady - milliseconds(digest.m_servers_contact_age);
+  }
   // The clocks of this process tell how long ago the report was sent.
   const Duration ago =
       now.m_boot - BootTime(BootTime::duration(digest.m_report_sent));
--- a/tests/gateway/relay_test.cc
+++ b/tests/gateway/relay_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "gateway/member_system.h"
 #include "gateway/relay_system.h"
 #include "support/gateway_world.h"
 
@@ -72,6 +73,26 @@
   EXPECT_LE(CountUnaware(world), 1U);
 }
 
+// Found on a hunted day: a host that had been cut off took a server that left
+// 2.4 s after its own return to the store for one whose entry had lapsed in an
+// outage, and went on sending to it, though the leader had never lost the
+// store.
+TEST(RelayTest, AServerThatLeavesIsGoneForAHostThatWasCutOff) {
+  const FakeDirectory decoder;
+  const DirectorySystem directory(decoder);
+  GatewayTables tables;
+  const Now now{TimePoint() + seconds(100), WallTime(), BootTime(seconds(100))};
+  directory.OnServerRows(tables, {{kServer, "10.1.0.2:80 dc-1 0 1", 1, false}},
+                         true, now);
+  tables.m_servers_contact_since = now.m_steady;
+  LeaderDigest digest;
+  digest.m_relaying = true;
+  digest.m_servers_contact_age = 60'000;
+  MemberSystem::OnDigest(tables, digest, now);
+  directory.OnServerRows(tables, {{kServer, "", 2, true}}, false, now);
+  EXPECT_FALSE(FindServer(tables, kServer)->m_listed);
+}
+
 TEST(RelayTest, RowsThatAreKnownAreNotTakenBack) {
   GatewayTables tables;
   WatchProgress& progress = tables.m_progress[kServerRows];
