--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -77,6 +77,10 @@
   /// well within a second.
   Duration m_load_report = std::chrono::milliseconds(400);
 
+  /// Time in which confirmed moves gather before they are recorded: each record
+  /// goes to all daemons.
+  Duration m_settle_gather = std::chrono::milliseconds(30);
+
   /// Silence after which a member or the leader counts as not heard.
   Duration m_unheard_after = std::chrono::milliseconds(1300);
 
--- a/src/gateway/grant_order_system.cc
+++ b/src/gateway/grant_order_system.cc
@@ -212,6 +212,11 @@
 
 void NoteSettled(GatewayTables& tables, RangeRow& row, const Now& now) {
   ServiceRow& service = tables.m_services.Get(row.m_service);
+  if (!service.m_dirty) {
+    service.m_next_operation =
+        std::max(service.m_next_operation,
+                 now.m_steady + tables.m_settings.m_settle_gather);
+  }
   service.m_dirty = true;
   row.m_phase = RangePhase::kSettled;
   row.m_handover.clear();
