Reset connections whose exchange was given up

The renewal had been given up after 0.7 s, but an ordinary close goes on delivering what the system holds, so it arrived when the cut healed.

Ruled out: a change of leader (both tokens are of epoch 1); a restart of the server.

Change: an exchange that is given up, or whose client has left, resets its connection. The test sees an ordinary end without the change and a reset with it.

--- a/src/runtime/fiber_stream.cc
+++ b/src/runtime/fiber_stream.cc
@@ -32,6 +32,14 @@
   m_socket.non_blocking(true, ignored);
 }
 
+// An ordinary close goes on delivering what the system still holds, for as long
+// as a cut of the network lasts.
+void FiberStream::Abort() {
+  ErrorCode ignored;
+  m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  m_socket.close(ignored);
+}
+
 bool FiberStream::IsSilent() {
   return WouldWait(Peek(m_socket));
 }
--- a/src/runtime/fiber_stream.h
+++ b/src/runtime/fiber_stream.h
@@ -28,6 +28,10 @@
   /// To be called once connected, before the first write.
   void EnableImmediateWrites();
 
+  /// Closes the connection at once. What was written and has not arrived yet
+  /// never will.
+  void Abort();
+
   /// Returns whether the connection is open and nothing waits to be read.
   bool IsSilent();
 
--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -174,8 +174,7 @@
   result.m_progress = ExchangeProgress::kMaybeSent;
   const CancellationScope scope(request.m_cancellation, [&connection] {
     // Closing tells the other side to stop working on the request.
-    error_code ignored;
-    connection->m_stream.GetSocket().close(ignored);
+    connection->m_stream.Abort();
   });
   connection->m_stream.SetDeadline(deadline);
   error_code failure;
@@ -186,7 +185,9 @@
     http::read(connection->m_stream, connection->m_buffer, parser, failure);
   }
   if (failure) {
-    // The connection is dropped: a late answer must never meet a new request.
+    // A late answer must never meet a new request, nor a given-up order a
+    // server that comes back into reach.
+    connection->m_stream.Abort();
     result.m_timed_out = failure == asio::error::timed_out;
     return result;
   }
--- a/tests/runtime/fiber_stream_test.cc
+++ b/tests/runtime/fiber_stream_test.cc
@@ -99,6 +99,27 @@
   EXPECT_EQ(received, sent.size());
 }
 
+// Found on a hunted day (OWNER): a renewal that a cut of the network had held
+// up arrived seconds after it was given up, when another server owned the keys.
+TEST(FiberStreamTest, AnExchangeThatIsGivenUpDeliversNothingLater) {
+  tcp::acceptor acceptor(
+      ThreadIo(), tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  HttpClient client;
+  const ExchangeResult result =
+      client.Exchange({"127.0.0.1", acceptor.local_endpoint().port()},
+                      HttpRequest(), Clock::now() + milliseconds(30));
+  EXPECT_TRUE(result.m_timed_out);
+  FiberStream server(acceptor.accept());
+  server.SetDeadline(Clock::now() + seconds(2));
+  std::string buffer(4096, '\0');
+  error_code failure;
+  while (!failure) {
+    server.read_some(boost::asio::buffer(buffer), failure);
+  }
+  // A reset drops what is under way; an ordinary end would follow it.
+  EXPECT_EQ(failure, boost::asio::error::connection_reset);
+}
+
 /// A server whose handler waits until the client has left, or half a second.
 class DepartureTest : public testing::Test {
  protected:
