Work out placement only when an owner may change

Each tick of the leader, and so each answered order, summed the loads of all slices twice, dealt demand out over all servers and planned a fill, to find nothing to do.

Ruled out: keeping targets from tick to tick, which would be state to invalidate.

Change: targets, weights and plans are worked out when a range has no owner, a server has no keys, or relief is due; the decisions are the same. One name of a range and one lookup of a service in place of two each.

--- a/src/gateway/gateway_tables.cc
+++ b/src/gateway/gateway_tables.cc
@@ -29,6 +29,11 @@
       FindServer(static_cast<const GatewayTables&>(tables), id));
 }
 
+ServiceId FindService(const GatewayTables& tables, const std::string& name) {
+  return tables.m_services.FindIf(
+      [&name](const ServiceRow& row) { return row.m_name == name; });
+}
+
 bool IsEligible(const ServerRow& server) {
   return server.m_listed && !server.m_entry.m_draining && !server.m_evacuated;
 }
--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -336,6 +336,9 @@
 ServerRow* FindServer(GatewayTables& tables, const std::string& id);
 const ServerRow* FindServer(const GatewayTables& tables, const std::string& id);
 
+/// Returns the service whose keys are owned, or an invalid id.
+ServiceId FindService(const GatewayTables& tables, const std::string& name);
+
 /// Returns whether a server may be given keys or new work.
 bool IsEligible(const ServerRow& server);
 
--- a/src/gateway/grant_order_system.cc
+++ b/src/gateway/grant_order_system.cc
@@ -11,10 +11,6 @@
 // means that the store does not answer, so grants must outlast its outage.
 constexpr std::chrono::milliseconds kOutageSign{850};
 
-std::string NameOfRange(const KeyRange& range) {
-  return std::to_string(range.m_first) + "-" + std::to_string(range.m_last);
-}
-
 Duration LongestHold(const OwnershipSettings& settings, Duration hold) {
   return std::chrono::duration_cast<Duration>(hold *
                                               (1 + settings.m_clock_drift));
@@ -224,7 +220,7 @@
       now.m_steady - row.m_move_started);
   tables.m_events.push_back({EventNumber::kPartitionMoveFinished,
                              {{"cell", service.m_name},
-                              {"partition", NameOfRange(row.m_range)},
+                              {"partition", NameOf(row.m_range)},
                               {"server", row.m_owner},
                               {"epoch", row.m_fence},
                               {"milliseconds", took.count()}}});
@@ -288,7 +284,7 @@
     tables.m_events.push_back({EventNumber::kOrderFailed,
                                {{"order", "grant"},
                                 {"server", command.m_server},
-                                {"partition", NameOfRange(command.m_keys)},
+                                {"partition", NameOf(command.m_keys)},
                                 {"epoch", command.m_fence},
                                 {"outcome", NameOf(outcome)}}});
   }
@@ -328,7 +324,7 @@
   tables.m_events.push_back({EventNumber::kOrderFailed,
                              {{"order", "release"},
                               {"server", command.m_server},
-                              {"partition", NameOfRange(command.m_keys)},
+                              {"partition", NameOf(command.m_keys)},
                               {"epoch", command.m_fence},
                               {"outcome", NameOf(outcome)}}});
 }
--- a/src/gateway/member_system.cc
+++ b/src/gateway/member_system.cc
@@ -91,9 +91,8 @@
 
 void TakeLoads(GatewayTables& tables, const MemberReport& report) {
   for (const ServiceLoad& load : report.m_loads) {
-    const ServiceId service = tables.m_services.FindIf(
-        [&](const ServiceRow& row) { return row.m_name == load.m_service; });
-    ServiceRow* row = tables.m_services.Find(service);
+    ServiceRow* row =
+        tables.m_services.Find(FindService(tables, load.m_service));
     for (const SliceLoad& slice : load.m_slices) {
       if (row && slice.m_slice < kSlices) {
         row->m_counts[slice.m_slice] += slice.m_requests;
--- a/src/gateway/owners_system.cc
+++ b/src/gateway/owners_system.cc
@@ -11,11 +11,6 @@
   return kOwnersPrefix + service.m_name;
 }
 
-ServiceId FindService(const GatewayTables& tables, const std::string& name) {
-  return tables.m_services.FindIf(
-      [&name](const ServiceRow& row) { return row.m_name == name; });
-}
-
 void AddServices(GatewayTables& tables) {
   for (const RoutedService& service : tables.m_routes->GetConfig().m_services) {
     if (service.m_sharded && !FindService(tables, service.m_name).IsValid()) {
--- a/src/gateway/range_placement_system.cc
+++ b/src/gateway/range_placement_system.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <set>
+#include <string_view>
 
 #include "gateway/range_planner.h"
 
@@ -60,12 +62,10 @@
   return usual;
 }
 
-// Returns the servers that may own keys, with their targets.
+// Returns the servers that may own keys, without their targets.
 std::vector<PlannedServer> ServersOf(const GatewayTables& tables,
                                      const std::string& service,
-                                     double demand,
                                      const Now& now) {
-  static const ResponseTimeTargets targets;
   const SpeedEstimate usual = UsualSpeed(tables, service);
   std::vector<PlannedServer> servers;
   std::vector<PlannedServer> cold;
@@ -81,26 +81,19 @@
     (now.m_steady < server.m_cold_until ? cold : servers)
         .push_back({id, server.m_entry.m_slots, seconds, 0});
   }
-  if (servers.empty()) {
-    servers = std::move(cold);
-  }
-  if (!servers.empty()) {
-    targets.SetTargets(servers, demand);
-  }
-  return servers;
+  return servers.empty() ? cold : servers;
 }
 
 double DemandOf(const ServiceRow& service) {
   return std::accumulate(service.m_loads.begin(), service.m_loads.end(), 0.0);
 }
 
-SliceWeights WeightsOf(const ServiceRow& service) {
-  const double rate = DemandOf(service);
-  if (rate < kSignificantRate) {
+SliceWeights WeightsOf(const ServiceRow& service, double demand) {
+  if (demand < kSignificantRate) {
     return {};
   }
   // Exponential smoothing counts for twice its time constant.
-  return {service.m_loads, rate * 2 * ToSeconds(kSmoothing)};
+  return {service.m_loads, demand * 2 * ToSeconds(kSmoothing)};
 }
 
 struct ServiceRanges {
@@ -136,6 +129,17 @@
   return found;
 }
 
+bool HasServerWithoutKeys(const ServiceRanges& ranges,
+                          const std::vector<PlannedServer>& servers) {
+  std::set<std::string_view> owners;
+  for (const PlannedRange& range : ranges.m_planned) {
+    owners.insert(range.m_owner);
+  }
+  return std::ranges::any_of(servers, [&owners](const PlannedServer& server) {
+    return !owners.contains(server.m_id);
+  });
+}
+
 RangeRow Piece(const GatewayTables& tables,
                const RangeRow& whole,
                const PlannedRange& planned,
@@ -190,13 +194,11 @@
           Piece(tables, whole, piece, service.m_record_number + 1, now);
       if (row.m_owner != whole.m_owner) {
         row.m_fence = ++tables.m_lead.m_last_fence;
-        tables.m_events.push_back(
-            {EventNumber::kPartitionMoveStarted,
-             {{"cell", service.m_name},
-              {"partition", std::to_string(piece.m_range.m_first) + "-" +
-                                std::to_string(piece.m_range.m_last)},
-              {"from", whole.m_owner},
-              {"to", row.m_owner}}});
+        tables.m_events.push_back({EventNumber::kPartitionMoveStarted,
+                                   {{"cell", service.m_name},
+                                    {"partition", NameOf(piece.m_range)},
+                                    {"from", whole.m_owner},
+                                    {"to", row.m_owner}}});
       }
       tables.m_ranges.Insert(std::move(row));
       changed = true;
@@ -215,7 +217,11 @@
   tables.m_ranges.Insert(std::move(row));
 }
 
+// Most ticks follow an answered order and change no owner, so targets and
+// weights are worked out only when a range or a server is without the other, or
+// relief is due.
 void PlaceService(GatewayTables& tables, ServiceId id, const Now& now) {
+  static const ResponseTimeTargets targets;
   static const FillPlanner fill;
   static const RelievePlanner relieve;
   ServiceRow& service = tables.m_services.Get(id);
@@ -224,8 +230,7 @@
     return;  // the record's number is taken
   }
   ServiceRanges ranges = RangesOf(tables, id, now);
-  const std::vector<PlannedServer> servers =
-      ServersOf(tables, service.m_name, DemandOf(service), now);
+  std::vector<PlannedServer> servers = ServersOf(tables, service.m_name, now);
   if (servers.empty()) {
     return;
   }
@@ -236,11 +241,19 @@
   if (ranges.m_moving && !ranges.m_orphaned) {
     return;
   }
-  const SliceWeights weights = WeightsOf(service);
+  const bool relief_due = now.m_steady >= service.m_next_rebalance;
+  if (!relief_due && !ranges.m_orphaned &&
+      !HasServerWithoutKeys(ranges, servers)) {
+    tables.WakeAt(service.m_next_rebalance);
+    return;
+  }
+  const double demand = DemandOf(service);
+  targets.SetTargets(servers, demand);
+  const SliceWeights weights = WeightsOf(service, demand);
   std::vector<PlannedRange> plan =
       fill.Plan(ranges.m_planned, servers, weights);
   if (plan == ranges.m_planned) {
-    if (now.m_steady < service.m_next_rebalance) {
+    if (!relief_due) {
       tables.WakeAt(service.m_next_rebalance);
       return;
     }
--- a/src/gateway/server_control.cc
+++ b/src/gateway/server_control.cc
@@ -2,6 +2,10 @@
 
 namespace foxtail {
 
+std::string NameOf(const KeyRange& range) {
+  return std::to_string(range.m_first) + "-" + std::to_string(range.m_last);
+}
+
 const char* NameOf(OrderOutcome outcome) {
   switch (outcome) {
     case OrderOutcome::kDone:
--- a/src/gateway/server_control.h
+++ b/src/gateway/server_control.h
@@ -18,6 +18,9 @@
   auto operator<=>(const KeyRange&) const = default;
 };
 
+/// Returns the range's name for logs.
+std::string NameOf(const KeyRange& range);
+
 /// How an order to a backend server ended.
 enum class OrderOutcome {
   kDone,
