Judge each answer once; drop the probe that nothing asks

Cause: read in the diff. A server's answer was decoded twice, to decide whether its connection is in step and again for its verdict; and each request set a probe for its client's departure that has had no caller since a read is always pending.

Ruled out: a use of the probe in tests (none).

Change: the first judgement is used for both; the probe and what it called are gone.

--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -383,15 +383,17 @@
   call.m_tried.insert(server.m_id);
   HttpRequest forwarded = m_front.ForServer(
       request, {server.m_id, call.WorkspaceName(), call.m_deadline - started});
+  ServerAnswer answer;
   ExchangeOptions options;
-  options.m_belongs = [&](const HttpResponse& answer) {
-    return m_front.Judge(call.m_request, answer).m_kind != AnswerKind::kInvalid;
+  options.m_belongs = [&](const HttpResponse& received) {
+    answer = m_front.Judge(call.m_request, received);
+    return answer.m_kind != AnswerKind::kInvalid;
   };
   options.m_new_connection = call.m_attempts > 1;
   ExchangeResult result = m_client.Exchange(
       server.m_address, forwarded, call.m_deadline + kAnswerMargin, options);
   const Verdict verdict =
-      JudgeExchange(call, server, started, result, response);
+      JudgeExchange(call, server, started, result, answer, response);
   WakeNext(id);
   return verdict;
 }
@@ -401,6 +403,7 @@
     const RoutedServer& server,
     TimePoint started,
     ExchangeResult& result,
+    const ServerAnswer& answer,
     HttpResponse& response) {
   const TimePoint now = Clock::now();
   const SendServerId id = m_system.RowOf(server, now);
@@ -416,7 +419,6 @@
     call.m_maybe_ran = true;
     return Verdict::kLost;
   }
-  const ServerAnswer answer = m_front.Judge(call.m_request, result.m_response);
   m_system.OnEnded(id, answer.m_load, answer.m_kind == AnswerKind::kAnswer,
                    latency, now);
   switch (answer.m_kind) {
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -84,6 +84,7 @@
                         const RoutedServer& server,
                         TimePoint started,
                         ExchangeResult& result,
+                        const ServerAnswer& answer,
                         HttpResponse& response);
   bool MayRetry(Call& call, Verdict verdict);
   void ThrowFailure(const Call& call, ErrorCode not_run, ErrorCode unknown);
--- a/src/runtime/cancellation.h
+++ b/src/runtime/cancellation.h
@@ -22,23 +22,10 @@
 
   bool IsCancelled() const { return m_cancelled; }
 
-  /// Sets what looks, without waiting, whether the client has left.
-  void SetProbe(std::function<bool()> probe) { m_probe = std::move(probe); }
-
-  /// As `IsCancelled`, but looks at the client's connection first. On a busy
-  /// thread its close may not have been handled yet.
-  bool ProbeCancelled() {
-    if (!m_cancelled && m_probe && m_probe()) {
-      Cancel();
-    }
-    return m_cancelled;
-  }
-
  private:
   friend class CancellationScope;
 
   bool m_cancelled = false;
-  std::function<bool()> m_probe;
   std::function<void()> m_action;
 };
 
--- a/src/runtime/fiber_stream.cc
+++ b/src/runtime/fiber_stream.cc
@@ -3,19 +3,6 @@
 #include <sys/socket.h>
 
 namespace foxtail {
-namespace {
-
-// Looks at the next byte without taking it or waiting.
-ssize_t Peek(FiberStream::Socket& socket) {
-  char byte = 0;
-  return recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-}
-
-bool WouldWait(ssize_t got) {
-  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
-}  // namespace
 
 FiberStream::ErrorCode FiberStream::Connect(
     const boost::asio::ip::tcp::endpoint& endpoint) {
@@ -41,12 +28,10 @@
 }
 
 bool FiberStream::IsSilent() {
-  return WouldWait(Peek(m_socket));
-}
-
-bool FiberStream::IsClosed() {
-  const ssize_t got = Peek(m_socket);
-  return got == 0 || (got < 0 && !WouldWait(got));
+  char byte = 0;
+  const ssize_t got =
+      recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 // The operation refers to the caller's stack, so it is always waited for to its
--- a/src/runtime/fiber_stream.h
+++ b/src/runtime/fiber_stream.h
@@ -35,9 +35,6 @@
   /// Returns whether the connection is open and nothing waits to be read.
   bool IsSilent();
 
-  /// Returns whether the other side has closed the connection.
-  bool IsClosed();
-
   // The names that the library asks for.
   template <typename Buffers>
   size_t read_some(const Buffers& buffers, ErrorCode& failure) {  // NOLINT
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -270,13 +270,10 @@
 
 HttpResponse HttpServer::Handle(Connection& connection, HttpRequest& request) {
   request.m_cancellation = std::make_shared<Cancellation>();
-  request.m_cancellation->SetProbe(
-      [&connection] { return connection.m_stream.IsClosed(); });
   connection.m_cancellation = request.m_cancellation;
   connection.StartRead();
   HttpResponse response = HandleOrExplain(m_handler, request);
   connection.m_cancellation.reset();
-  request.m_cancellation->SetProbe(nullptr);
   response.m_drop = response.m_drop || request.m_cancellation->IsCancelled();
   return response;
 }
