Tell which source admitted a request, and what the leader issued

No log line or counter tells whether a request was admitted by a token of the leader or by the host's equal share, nor what the leader issued, so the hypotheses could not be told apart.

Change: each host logs admission_summary every 5 s for the workspaces that the leader's tokens did not suffice for (at most 20 of them) and counts foxtail_admissions_total; the leader logs tokens_issued. The decisions move out of the waiting fibers into RateAdmission, which takes the time as an argument, so that a test can run them on a simulated clock. They are unchanged.

--- a/src/core/event.cc
+++ b/src/core/event.cc
@@ -71,6 +71,11 @@
               "maximum TTL."},
     EventInfo{kEvacuationChanged, "evacuation_changed", "data_centres",
               "The list of data centres to evacuate has changed."},
+    EventInfo{kTokensIssued, "tokens_issued",
+              "workspace rate burst requested issued spent returned stock "
+              "outstanding",
+              "Rate tokens that the leader issued since the last such event, "
+              "and what it holds."},
     EventInfo{kPlanMade, "plan_made", "plan base moves",
               "A plan was stored and awaits confirmation."},
     EventInfo{kPlanConfirmed, "plan_confirmed", "plan version",
@@ -103,6 +108,11 @@
               "requests served refused failed in_flight configuration_age_ms "
               "version",
               "Counts of requests since the last summary."},
+    EventInfo{kAdmissionSummary, "admission_summary",
+              "workspace leader_token equal_share refused_by_leader "
+              "refused_without_leader",
+              "How a workspace's requests were admitted or refused by rate "
+              "since the last summary."},
     EventInfo{kRequestSuspected, "request_suspected", "cell server fingerprint",
               "A request was in flight when its backend server crashed."},
     EventInfo{kRequestCondemned, "request_condemned", "cell fingerprint",
--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -295,6 +295,7 @@
 
   /// Issues the workspaces' rate tokens; used while this process is the leader.
   std::optional<TokenIssuer> m_tokens;
+  TimePoint m_next_tokens_summary_at;
   std::array<WatchProgress, kWatchedKinds> m_progress;
 
   /// The leader relays row changes; until this time the store need not be
--- a/src/gateway/gateway_traffic_thread.cc
+++ b/src/gateway/gateway_traffic_thread.cc
@@ -165,6 +165,7 @@
   while (!m_stopping) {
     boost::this_fiber::sleep_for(kSummaryPeriod);
     m_handler->Expire(Clock::now());
+    m_handler->LogAdmissions();
     m_request_log.LogSummary(m_handler->CountInFlight(), ConfigurationAge(),
                              m_handler->ConfigurationVersion());
   }
--- a/src/gateway/member_system.cc
+++ b/src/gateway/member_system.cc
@@ -1,6 +1,7 @@
 #include "gateway/member_system.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 #include "gateway/relay_system.h"
@@ -10,6 +11,11 @@
 
 using std::chrono::milliseconds;
 
+// Interval between summaries of the issued tokens in the log, and limit on the
+// workspaces in one.
+constexpr std::chrono::seconds kTokensSummaryPeriod{5};
+constexpr size_t kMaxLoggedWorkspaces = 20;
+
 uint32_t WholeMilliseconds(Duration duration) {
   constexpr int64_t kMax = std::numeric_limits<uint32_t>::max() - 1;
   const auto whole = std::chrono::duration_cast<milliseconds>(duration);
@@ -68,6 +74,30 @@
   return static_cast<double>(reporting) / static_cast<double>(registered);
 }
 
+// Logged while reports arrive, so an idle leader is not woken for it.
+void LogIssuedTokens(GatewayTables& tables, const Now& now) {
+  if (now.m_steady < tables.m_next_tokens_summary_at) {
+    return;
+  }
+  tables.m_next_tokens_summary_at = now.m_steady + kTokensSummaryPeriod;
+  std::vector<IssuedTokensSummary> summaries =
+      tables.m_tokens->CollectSummaries(now.m_steady);
+  summaries.resize(std::min(summaries.size(), kMaxLoggedWorkspaces));
+  for (const IssuedTokensSummary& summary : summaries) {
+    tables.m_events.push_back(
+        {EventNumber::kTokensIssued,
+         {{"workspace", summary.m_limit.m_workspace},
+          {"rate", std::lround(summary.m_limit.m_rate)},
+          {"burst", std::lround(summary.m_limit.m_burst)},
+          {"requested", std::lround(summary.m_counts.m_requested)},
+          {"issued", std::lround(summary.m_counts.m_issued)},
+          {"spent", std::lround(summary.m_counts.m_spent)},
+          {"returned", std::lround(summary.m_counts.m_returned)},
+          {"stock", std::lround(summary.m_stock)},
+          {"outstanding", std::lround(summary.m_outstanding)}}});
+  }
+}
+
 TokenResponse IssueTokens(GatewayTables& tables,
                           const MemberReport& report,
                           const Now& now) {
@@ -87,6 +117,7 @@
           member, demand, now.m_steady));
     }
   }
+  LogIssuedTokens(tables, now);
   return response;
 }
 
--- a/src/gateway/rate_limiter.h
+++ b/src/gateway/rate_limiter.h
@@ -3,18 +3,17 @@
 #include <functional>
 #include <string>
 
-#include "gateway/equal_share_limiter.h"
-#include "gateway/gateway_tables.h"
+#include "gateway/rate_admission.h"
 #include "runtime/fiber_event.h"
-#include "traffic/token_budget.h"
 
 namespace foxtail {
 
-/// Admits requests within their workspaces' rates. Uses tokens that the leader
-/// issues; while the leader is unreachable, uses an equal share of the rate.
+/// Admits requests within their workspaces' rates: lets fibers wait for the
+/// decisions of `RateAdmission`.
 class RateLimiter {
  public:
-  explicit RateLimiter(const OwnershipSettings& settings);
+  explicit RateLimiter(const OwnershipSettings& settings)
+      : m_admission(settings) {}
 
   /// Sets the callback that runs when a request waits for tokens.
   void SetOnTokensNeeded(std::function<void()> on_tokens_needed) {
@@ -28,21 +27,14 @@
                size_t members,
                TimePoint deadline);
 
-  /// Returns the token of a request that did not run.
-  void ReturnToken(const std::string& workspace);
-
-  /// Builds the token demands of the next report to the leader.
-  std::vector<TokenDemand> BuildDemands(TimePoint now);
-
   /// Adds the tokens that the leader issued in response to a report.
   void OnLeaderTokens(const LeaderTokens& leader_tokens);
 
+  RateAdmission& GetAdmission() { return m_admission; }
+
  private:
-  const OwnershipSettings& m_settings;
-  TokenBudget m_budget;
-  EqualShareLimiter m_equal_share;
+  RateAdmission m_admission;
   FiberEvent m_tokens_received;
-  TimePoint m_leader_last_heard_at;
   std::function<void()> m_on_tokens_needed;
 };
 
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -191,7 +191,8 @@
     return SendWithRetries(request, context);
   } catch (const Error&) {
     if (context.m_workspace && !context.m_maybe_ran) {
-      m_rate_limiter.ReturnToken(context.m_workspace->m_name);
+      m_rate_limiter.GetAdmission().ReturnToken(context.m_workspace->m_name,
+                                                Clock::now());
     }
     throw;
   }
@@ -516,9 +517,23 @@
       .first->second;
 }
 
+void RequestHandler::LogAdmissions() {
+  const auto counts = m_rate_limiter.GetAdmission().TakeCounts();
+  for (const auto& [workspace, outcomes] : counts) {
+    for (size_t i = 0; i < outcomes.size(); ++i) {
+      if (outcomes[i] > 0) {
+        m_metrics.Count("foxtail_admissions_total", "outcome",
+                        std::string(NameOf(static_cast<AdmissionOutcome>(i))),
+                        outcomes[i]);
+      }
+    }
+  }
+  m_request_log.LogAdmissions(counts);
+}
+
 MemberReport RequestHandler::CollectReport(TimePoint now, bool with_loads) {
   MemberReport report;
-  report.m_demands = m_rate_limiter.BuildDemands(now);
+  report.m_demands = m_rate_limiter.GetAdmission().BuildDemands(now);
   if (!with_loads) {
     return report;
   }
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -51,6 +51,9 @@
   /// last such report if `with_loads`, and resets them.
   MemberReport CollectReport(TimePoint now, bool with_loads);
 
+  /// Logs and counts how requests for admission ended since the last call.
+  void LogAdmissions();
+
   RateLimiter& GetRateLimiter() { return m_rate_limiter; }
 
   /// Erases the send state of servers that were not used recently.
--- a/src/gateway/request_log.cc
+++ b/src/gateway/request_log.cc
@@ -1,5 +1,7 @@
 #include "gateway/request_log.h"
 
+#include <numeric>
+
 namespace foxtail {
 namespace {
 
@@ -8,6 +10,9 @@
 constexpr uint32_t kMaxEventsPerWindow = 10;
 constexpr std::chrono::seconds kWindow{1};
 
+// Limit on the workspaces that one summary of admissions names.
+constexpr size_t kMaxLoggedWorkspaces = 20;
+
 std::vector<EventField> BuildFields(const RequestLogEntry& entry) {
   return {{"request", entry.m_request_id}, {"workspace", entry.m_workspace},
           {"service", entry.m_service},    {"server", entry.m_server},
@@ -62,6 +67,36 @@
   m_events.Write(EventNumber::kRequestRetried, fields);
 }
 
+void RequestLog::LogAdmissions(
+    const std::map<std::string, AdmissionCounts>& counts) {
+  size_t logged = 0;
+  size_t suppressed = 0;
+  for (const auto& [workspace, outcomes] : counts) {
+    const uint64_t total =
+        std::accumulate(outcomes.begin(), outcomes.end(), uint64_t{0});
+    const size_t leader_token =
+        static_cast<size_t>(AdmissionOutcome::kLeaderToken);
+    if (total == outcomes[leader_token]) {
+      continue;
+    }
+    if (logged >= kMaxLoggedWorkspaces) {
+      ++suppressed;
+      continue;
+    }
+    ++logged;
+    std::vector<EventField> fields = {{"workspace", workspace}};
+    for (size_t i = 0; i < outcomes.size(); ++i) {
+      fields.emplace_back(NameOf(static_cast<AdmissionOutcome>(i)),
+                          outcomes[i]);
+    }
+    m_events.Write(EventNumber::kAdmissionSummary, fields);
+  }
+  if (suppressed > 0) {
+    m_events.Write(EventNumber::kEventsSuppressed,
+                   {{"kind", "admission_summary"}, {"count", suppressed}});
+  }
+}
+
 void RequestLog::LogSummary(size_t in_flight,
                             std::chrono::milliseconds configuration_age,
                             uint64_t version) {
--- a/src/gateway/request_log.h
+++ b/src/gateway/request_log.h
@@ -8,6 +8,7 @@
 #include "core/error.h"
 #include "core/event.h"
 #include "core/time.h"
+#include "gateway/rate_admission.h"
 
 namespace foxtail {
 
@@ -40,6 +41,10 @@
   /// Logs a retry of a request.
   void LogRetry(const RequestLogEntry& entry, const std::string& reason);
 
+  /// Logs how requests for admission ended, for the workspaces that the
+  /// leader's tokens did not suffice for.
+  void LogAdmissions(const std::map<std::string, AdmissionCounts>& counts);
+
   void CountRequest() { ++m_requests; }
   void CountServed() { ++m_served; }
 
--- a/src/traffic/token_issuer.cc
+++ b/src/traffic/token_issuer.cc
@@ -114,6 +114,11 @@
     row.m_stock -= stock;
     row.m_outstanding.push_back({dispatcher, stock, now + m_token_ttl});
   }
+  row.m_limit = limit;
+  row.m_counts.m_requested += demand.m_requested;
+  row.m_counts.m_issued += for_waiting + stock;
+  row.m_counts.m_spent += demand.m_spent;
+  row.m_counts.m_returned += returned;
   TokenGrant grant;
   grant.m_workspace = limit.m_workspace;
   grant.m_tokens = for_waiting + stock;
@@ -121,4 +126,16 @@
   return grant;
 }
 
+std::vector<IssuedTokensSummary> TokenIssuer::CollectSummaries(TimePoint now) {
+  std::vector<IssuedTokensSummary> summaries;
+  for (auto& [workspace, row] : m_rows) {
+    if (row.m_counts.m_issued < row.m_counts.m_requested) {
+      summaries.push_back({row.m_limit, row.m_counts, row.m_stock,
+                           SumOutstanding(row, now).m_all});
+    }
+    row.m_counts = {};
+  }
+  return summaries;
+}
+
 }  // namespace foxtail
--- a/src/traffic/token_issuer.h
+++ b/src/traffic/token_issuer.h
@@ -18,6 +18,22 @@
   double m_burst = 0;
 };
 
+/// Tokens of a workspace by what became of them.
+struct IssuedTokenCounts {
+  double m_requested = 0;
+  double m_issued = 0;
+  double m_spent = 0;
+  double m_returned = 0;
+};
+
+/// What the issuer holds of a workspace and has issued since the last summary.
+struct IssuedTokensSummary {
+  TokenLimit m_limit;
+  IssuedTokenCounts m_counts;
+  double m_stock = 0;
+  double m_outstanding = 0;
+};
+
 /// Stock and outstanding tokens of a workspace at the issuer.
 struct IssuedTokensRow {
   double m_stock = 0;
@@ -31,6 +47,9 @@
     TimePoint m_until;
   };
   std::vector<Outstanding> m_outstanding;
+
+  TokenLimit m_limit;
+  IssuedTokenCounts m_counts;
 };
 
 /// Grants the rate limit tokens of all workspaces. There is one issuer at a
@@ -52,6 +71,10 @@
                    const TokenDemand& demand,
                    TimePoint now);
 
+  /// Returns the summaries of the workspaces that were issued fewer tokens than
+  /// requested since the last call, and resets all counts.
+  std::vector<IssuedTokensSummary> CollectSummaries(TimePoint now);
+
  private:
   IssuedTokensRow& FindOrAddRow(const TokenLimit& limit, TimePoint now);
 
