Test that the workspaces' rates hold while the leader is slow, lost or replaced

RateLimitTest runs ten hosts with the real control and admission decisions on a simulated clock: one workspace sends five times its rate, and the leader is slow, killed, cut off, stopped or without store, datagrams are lost, hosts are isolated or restarted. It measures the most requests that run in any 5 s against rate x 5 s + burst, without the tolerance of the users' rule.

A further case, which passes today, holds that callers within their rate are served beside a slow leader.

--- a/tests/support/gateway_world.cc
+++ b/tests/support/gateway_world.cc
@@ -46,8 +46,13 @@
 RoutingConfig FakeDirectoryDecoder::DecodeConfiguration(
     const std::string& value) const {
   RoutingConfig config;
-  config.m_version = std::stoull(value);
+  std::istringstream fields(value);
+  RoutedWorkspace workspace;
+  workspace.m_name = kWorkspace;
+  fields >> config.m_version >> workspace.m_rate;
+  workspace.m_burst = workspace.m_rate;
   config.m_services = {{kService, true, 100, 0}};
+  config.m_workspaces = {workspace};
   return config;
 }
 
@@ -66,7 +71,7 @@
 
 GatewayWorld::GatewayWorld(size_t hosts, size_t servers, uint32_t seed)
     : m_hosts(hosts), m_servers(servers), m_random(seed) {
-  PutRow(m_decoder.OperatorTable(), "config", "1");
+  SetWorkspaceRate(0);
   for (size_t i = 0; i < servers; ++i) {
     m_servers[i].m_data_centre = "dc-" + std::to_string(i % 2);
     RegisterServer(i);
@@ -104,6 +109,16 @@
   PutRow(m_decoder.OperatorTable(), data_centre, "", !evacuated);
 }
 
+void GatewayWorld::SetWorkspaceRate(double rate) {
+  std::ostringstream fields;
+  fields << ++m_config_version << " " << rate;
+  PutRow(m_decoder.OperatorTable(), "config", fields.str());
+}
+
+void GatewayWorld::SetClientRate(size_t host, double rate) {
+  m_hosts[host].m_clients->m_rate = rate;
+}
+
 void GatewayWorld::Kill(size_t host) {
   m_hosts[host].m_up = false;
 }
@@ -117,6 +132,10 @@
                           "dc-0", fake.m_processor_share};
   fake.m_tables.m_started_at = m_now;
   fake.m_next_report_at = m_now;
+  const double client_rate = fake.m_clients ? fake.m_clients->m_rate : 0;
+  fake.m_clients =
+      std::make_unique<FakeClients>(fake.m_tables.m_settings, m_requests);
+  fake.m_clients->m_rate = client_rate;
 }
 
 void GatewayWorld::Run(Duration duration) {
@@ -144,12 +163,8 @@
 void GatewayWorld::RunHost(size_t host) {
   FakeHost& fake = m_hosts[host];
   DeliverWatches(host);
-  if (m_now >= fake.m_next_report_at) {
-    fake.m_next_report_at = m_now + fake.m_tables.m_settings.m_report_period;
-    MemberReport report;
-    report.m_loads = fake.m_loads;
-    MemberSystem::SendReport(fake.m_tables, std::move(report), ReadNow());
-  }
+  RunClients(host);
+  SendReportIfDue(host);
   RunGatewayTick(fake.m_tables, ReadNow());
   fake.m_tables.m_events.clear();
   for (const ControlCommand& command :
@@ -158,6 +173,38 @@
   }
 }
 
+void GatewayWorld::RunClients(size_t host) {
+  FakeHost& fake = m_hosts[host];
+  for (const LeaderTokens& tokens :
+       std::exchange(fake.m_tables.m_leader_tokens, {})) {
+    fake.m_clients->m_admission.OnLeaderTokens(tokens, m_now);
+  }
+  const RoutedWorkspace* workspace =
+      fake.m_tables.m_routes ? fake.m_tables.m_routes->FindWorkspace(kWorkspace)
+                             : nullptr;
+  if (workspace) {
+    const size_t members = std::max<size_t>(1, fake.m_tables.m_members.size());
+    fake.m_clients->Step(*workspace, members, m_now, kStep);
+  }
+}
+
+void GatewayWorld::SendReportIfDue(size_t host) {
+  FakeHost& fake = m_hosts[host];
+  const OwnershipSettings& settings = fake.m_tables.m_settings;
+  const bool early =
+      fake.m_clients->IsWaiting() &&
+      m_now >= fake.m_last_report_at + settings.m_min_report_interval;
+  if (!early && m_now < fake.m_next_report_at) {
+    return;
+  }
+  fake.m_last_report_at = m_now;
+  fake.m_next_report_at = m_now + settings.m_report_period;
+  MemberReport report;
+  report.m_loads = fake.m_loads;
+  report.m_demands = fake.m_clients->m_admission.BuildDemands(m_now);
+  MemberSystem::SendReport(fake.m_tables, std::move(report), ReadNow());
+}
+
 bool GatewayWorld::ReachesStore(size_t host) const {
   return !m_store_down && !m_hosts[host].m_store_unreachable;
 }
@@ -367,7 +414,9 @@
         std::ranges::count(command.m_addresses, HostAddress(target)) > 0;
     if (addressed && !m_hosts[host].m_isolated && !m_hosts[target].m_isolated &&
         chance(m_random) >= m_lost_datagram_rate) {
-      Schedule(target, kNetworkDelay,
+      const Duration delay = kNetworkDelay + m_hosts[host].m_datagram_delay +
+                             m_hosts[target].m_datagram_delay;
+      Schedule(target, delay,
                [this, target, command] { Receive(target, command.m_message); });
     }
   }
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -11,6 +11,7 @@
 
 #include "gateway/directory_system.h"
 #include "gateway/gateway_tables.h"
+#include "support/fake_clients.h"
 
 namespace foxtail {
 
@@ -27,6 +28,9 @@
                                   const std::string& value) const override;
 };
 
+/// The workspace that the fakes' configuration contains.
+inline constexpr const char* kWorkspace = "club";
+
 /// Number of sampled keys, evenly spaced, for which the fakes track grants.
 inline constexpr uint32_t kSampledKeys = 64;
 
@@ -67,8 +71,15 @@
   uint64_t m_incarnation = 0;
   TimePoint m_next_report_at;
 
+  /// Datagrams to and from this host take this much longer.
+  Duration m_datagram_delay{};
+
   /// Loads that the host's reports contain.
   std::vector<ServiceLoad> m_loads;
+
+  /// Clients of workspace `kWorkspace`; new for each process.
+  std::unique_ptr<FakeClients> m_clients;
+  TimePoint m_last_report_at;
 };
 
 /// Simulates several hosts, servers and the store on a simulated clock, in
@@ -91,6 +102,13 @@
   void DeregisterServer(size_t server);
   void SetEvacuated(const std::string& data_centre, bool evacuated);
 
+  /// Writes a configuration with the workspace's rate, in requests per second;
+  /// 0 means no limit. The burst is one second of the rate.
+  void SetWorkspaceRate(double rate);
+
+  /// Sets the rate of the clients' requests at a host, per second.
+  void SetClientRate(size_t host, double rate);
+
   /// Returns the index of the leader, or the number of hosts if there is none.
   size_t Leader() const;
 
@@ -119,6 +137,9 @@
   /// Reads of the watched tables that returned rows, by all hosts.
   size_t m_watch_reads = 0;
   size_t m_double_grants = 0;
+
+  /// What became of the clients' requests at all hosts.
+  RequestRecord m_requests;
   TimePoint m_now = TimePoint() + std::chrono::hours(1);
 
  private:
@@ -130,6 +151,8 @@
 
   void Step();
   void RunHost(size_t host);
+  void RunClients(size_t host);
+  void SendReportIfDue(size_t host);
   void DeliverWatches(size_t host);
   void ReadChanges(size_t host, WatchedKind kind);
   void ApplyRows(size_t host, WatchedKind kind, const RowsResult& result);
@@ -155,6 +178,7 @@
   DirectorySystem m_directory{m_decoder};
   std::map<std::pair<std::string, std::string>, StoredValue> m_rows;
   uint64_t m_version = 0;
+  uint64_t m_config_version = 0;
   std::multimap<TimePoint, std::function<void()>> m_scheduled;
   std::minstd_rand m_random;
 };
