Send one early report at a time, so that a slow leader is not flooded

Cause of the lateness that we could act on: a host with waiting requests reported every 25 ms whether or not the reports before were answered, 40 a second and host, so the later the answers, the more reports lay in the leader's buffer.

Change: ReportSchedule, without input or output, decides when a host reports: every 400 ms, or when requests wait and the last report was answered (25 ms apart) or counts as lost (150 ms).

--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -77,6 +77,10 @@
   Duration m_report_period = std::chrono::milliseconds(400);
   Duration m_min_report_interval = std::chrono::milliseconds(25);
 
+  /// Time after which a report without an answer counts as lost, so that
+  /// waiting requests cause another one.
+  Duration m_report_answer_timeout = std::chrono::milliseconds(150);
+
   /// Interval between reports of load and speed: a key that becomes hot must be
   /// detected well within a second.
   Duration m_load_report_period = std::chrono::milliseconds(400);
--- a/src/gateway/gateway_traffic_thread.cc
+++ b/src/gateway/gateway_traffic_thread.cc
@@ -31,7 +31,8 @@
     : m_settings(settings),
       m_front_end(front_end),
       m_events(events),
-      m_request_log(events) {}
+      m_request_log(events),
+      m_report_schedule(m_settings.m_ownership) {}
 
 GatewayTrafficThread::~GatewayTrafficThread() = default;
 
@@ -56,8 +57,8 @@
   m_readiness_server->Start();
   m_metrics_server->Start();
   m_handler->GetRateLimiter().SetOnTokensNeeded([this] {
-    m_report_pending = true;
-    m_report_triggered.Notify();
+    m_report_schedule.OnTokensNeeded();
+    m_report_due.Notify();
   });
   StartFiber([this] { ReportLoop(); });
   StartFiber([this] { SummaryLoop(); });
@@ -138,26 +139,28 @@
 
 void GatewayTrafficThread::OnLeaderTokens(LeaderTokens tokens) {
   m_mailbox.Post([this, tokens = std::move(tokens)] {
+    m_report_schedule.OnAnswer(tokens.m_report_sent_at);
+    m_report_due.Notify();
     m_handler->GetRateLimiter().OnLeaderTokens(tokens);
   });
 }
 
-// Reports periodically, and sooner when requests wait for tokens.
 void GatewayTrafficThread::ReportLoop() {
-  const OwnershipSettings& settings = m_settings.m_ownership;
-  TimePoint next_load_report_at = Clock::now() + settings.m_load_report_period;
+  const Duration load_period = m_settings.m_ownership.m_load_report_period;
+  TimePoint next_load_report_at = Clock::now() + load_period;
   while (!m_stopping) {
-    if (!std::exchange(m_report_pending, false)) {
-      m_report_triggered.WaitUntil(Clock::now() + settings.m_report_period);
-      m_report_pending = false;
-    }
     const TimePoint now = Clock::now();
+    const TimePoint next_report_at = m_report_schedule.FindNextReport();
+    if (now < next_report_at) {
+      m_report_due.WaitUntil(next_report_at);
+      continue;
+    }
     const bool with_loads = now >= next_load_report_at;
     if (with_loads) {
-      next_load_report_at = now + settings.m_load_report_period;
+      next_load_report_at = now + load_period;
     }
+    m_report_schedule.OnReport(now);
     m_control->Report(m_handler->CollectReport(now, with_loads));
-    boost::this_fiber::sleep_for(settings.m_min_report_interval);
   }
 }
 
--- a/src/gateway/gateway_traffic_thread.h
+++ b/src/gateway/gateway_traffic_thread.h
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include "gateway/control_thread.h"
+#include "gateway/report_schedule.h"
 #include "gateway/request_handler.h"
 #include "runtime/http_server.h"
 #include "runtime/mailbox.h"
@@ -55,8 +56,10 @@
   std::unique_ptr<HttpServer> m_readiness_server;
   std::unique_ptr<HttpServer> m_metrics_server;
   Mailbox m_mailbox;
-  FiberEvent m_report_triggered;
-  bool m_report_pending = false;
+  ReportSchedule m_report_schedule;
+
+  /// Notified when the time of the next report may have changed.
+  FiberEvent m_report_due;
   uint64_t m_limits_version = 0;
   BootTime m_configuration_read_at;
   bool m_shutting_down = false;
