Charge all of a workspace's requests to one budget

Cause: two issuers for one budget. The leader issued tokens at the full rate, and each host admitted by an equal share of the same rate whenever a token took more than 60 ms, unknown to the leader. The same class elsewhere: a new leader took members that it had not heard as reporting; hosts cut off began with a second burst; returned tokens and tokens for requests that no longer waited were used after the issuer had stopped counting them; an age of a report was counted from its arrival, not its sending.

Change: the rate has one budget at the leader. Shares are advances on it: hosts report their use until it is charged (cumulative, so a lost report costs nothing), the leader keeps in stock what hosts may have used since their last report was sent, and no tokens accrue for the shares of silent hosts. The shares together hold part of the burst, dealt out in whole tokens where there is less than one for each host. All tokens are outstanding until they are reported, returned or expired; those of requests that did not run are refunded. A denial now says that the rate does not yield the demand soon, and comes with the response. A host stocks at most twice its part of the burst, so that a few hosts do not hold all tokens of a small rate; a request without another source waits up to 200 ms, not 60.

The test of service beside a slow leader now gives each delay a world of its own, with the same bound: before, the burst used under one delay was missing under the next, which is no fault of the code.

--- a/src/control/token_system.cc
+++ b/src/control/token_system.cc
@@ -14,6 +14,7 @@
     m_issuer.emplace(
         AddClockDrift(tables.m_settings, tables.m_settings.m_token_ttl));
     m_issuer->Begin(now);
+    m_issuing_since = now;
   }
   for (const ReceivedTokenRequest& received :
        context.m_inbox.m_token_requests) {
@@ -31,8 +32,12 @@
       if (is_controller && id.IsValid()) {
         const WorkspaceConfig& config = tables.m_workspaces.Get(id).m_config;
         response.m_grants.push_back(
-            m_issuer->Serve({config.m_name, config.m_rate, config.m_burst},
-                            received.m_request.m_dispatcher, demand, now));
+            m_issuer->Serve({config.m_name,
+                             config.m_rate,
+                             config.m_burst,
+                             now - m_issuing_since,
+                             {}},
+                            received.m_request.m_dispatcher, demand, {}, now));
       }
     }
     context.m_outbox.m_token_responses.push_back(
--- a/src/core/event.cc
+++ b/src/core/event.cc
@@ -72,8 +72,8 @@
     EventInfo{kEvacuationChanged, "evacuation_changed", "data_centres",
               "The list of data centres to evacuate has changed."},
     EventInfo{kTokensIssued, "tokens_issued",
-              "workspace rate burst requested issued spent returned stock "
-              "outstanding",
+              "workspace rate burst requested issued spent returned "
+              "share_charged stock outstanding withheld",
               "Rate tokens that the leader issued since the last such event, "
               "and what it holds."},
     EventInfo{kPlanMade, "plan_made", "plan base moves",
--- a/src/entry/token_client.cc
+++ b/src/entry/token_client.cc
@@ -107,7 +107,7 @@
     BackOffIfAllTried();
     return;
   }
-  m_budget.OnGrants(response, sent_at);
+  m_budget.OnGrants(response, sent_at, Clock::now());
   double missing = 0;
   for (const TokenDemand& demand : request.m_demands) {
     missing += demand.m_requested;
--- a/src/gateway/cluster_codec.cc
+++ b/src/gateway/cluster_codec.cc
@@ -64,8 +64,8 @@
 
 template <typename Archive>
 void serialize(Archive& archive, MemberReport& m) {  // NOLINT
-  archive(m.m_address, m.m_incarnation, m.m_sequence, m.m_sent_at, m.m_demands,
-          m.m_loads, m.m_speeds);
+  archive(m.m_address, m.m_incarnation, m.m_sequence, m.m_sent_at, m.m_members,
+          m.m_demands, m.m_loads, m.m_speeds);
 }
 
 template <typename Archive>
--- a/src/gateway/cluster_records.h
+++ b/src/gateway/cluster_records.h
@@ -125,6 +125,9 @@
   /// When the report was sent, by the sender's boot clock in nanoseconds. Only
   /// the sender can interpret it.
   int64_t m_sent_at = 0;
+
+  /// Number of hosts among which the sender divides the workspaces' rates.
+  uint32_t m_members = 0;
   std::vector<TokenDemand> m_demands;
   std::vector<ServiceLoad> m_loads;
   std::vector<ServerSpeed> m_speeds;
--- a/src/gateway/directory_system.cc
+++ b/src/gateway/directory_system.cc
@@ -88,6 +88,7 @@
   MemberRow& member = tables.m_members.Get(kept);
   if (member.m_record.m_incarnation != record.m_incarnation) {
     member.m_report_sequence = 0;
+    member.m_contact.OnProcessReplaced();
   }
   member.m_record = std::move(record);
   member.m_row_version = row.m_version;
--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -16,6 +16,7 @@
 #include "gateway/backend_server.h"
 #include "gateway/cluster_codec.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/member_contact.h"
 #include "gateway/slice_weights.h"
 #include "gateway/speed_estimate.h"
 #include "routing/route_index.h"
@@ -38,10 +39,12 @@
   MemberRecord m_record;
   uint64_t m_row_version = 0;
 
-  /// Arrival time and sequence number of the member's last report. Maintained
-  /// by the leader only.
-  TimePoint m_last_heard_at;
+  /// The rest is maintained by the leader only: contact with the member,
+  /// sequence number of its last report, and when the member is deregistered if
+  /// no report comes.
+  MemberContact m_contact;
   uint64_t m_report_sequence = 0;
+  TimePoint m_deregister_at;
 };
 
 /// A backend server and its registration.
@@ -296,6 +299,13 @@
   /// Issues the workspaces' rate tokens; used while this process is the leader.
   std::optional<TokenIssuer> m_tokens;
   TimePoint m_next_tokens_summary_at;
+
+  /// Since when this process has led, and for how long the rates have accrued
+  /// since then. Time counts in proportion to the members that report: the
+  /// others use their shares on their own.
+  TimePoint m_leading_since;
+  Duration m_rates_accrued_for{};
+  TimePoint m_rates_advanced_at;
   std::array<WatchProgress, kWatchedKinds> m_progress;
 
   /// The leader relays row changes; until this time the store need not be
--- a/src/gateway/leadership_system.cc
+++ b/src/gateway/leadership_system.cc
@@ -60,6 +60,9 @@
   lease.m_outage_ttl_active = false;
   tables.m_tokens.emplace(tables.m_settings.m_outstanding_token_ttl);
   tables.m_tokens->Begin(now.m_steady);
+  tables.m_leading_since = now.m_steady;
+  tables.m_rates_advanced_at = now.m_steady;
+  tables.m_rates_accrued_for = Duration(0);
   lease.m_last_fence = lease.m_record.m_epoch << kFenceBits;
   tables.m_events.push_back(
       {EventNumber::kControlLeaseAcquired,
@@ -69,8 +72,10 @@
       [&tables](ServiceId id, ServiceRow&) { tables.m_services.Erase(id); });
   tables.m_ranges.ForEach(
       [&tables](RangeId id, RangeRow&) { tables.m_ranges.Erase(id); });
-  tables.m_members.ForEach(
-      [](MemberId, MemberRow& row) { row.m_last_heard_at = {}; });
+  tables.m_members.ForEach([&](MemberId, MemberRow& row) {
+    row.m_contact.Reset();
+    row.m_deregister_at = {};
+  });
 }
 
 // Ranks hosts by processor time, the strongest first, then by address.
--- a/src/gateway/member_system.cc
+++ b/src/gateway/member_system.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 
+#include "gateway/equal_share_limiter.h"
 #include "gateway/relay_system.h"
 
 namespace foxtail {
@@ -16,6 +17,10 @@
 constexpr std::chrono::seconds kTokensSummaryPeriod{5};
 constexpr size_t kMaxLoggedWorkspaces = 20;
 
+// Added to the age of a member's last report: the shortest time that a datagram
+// takes is not known, nor is the time until issued tokens are used.
+constexpr milliseconds kReportAgeMargin{20};
+
 uint32_t WholeMilliseconds(Duration duration) {
   constexpr int64_t kMax = std::numeric_limits<uint32_t>::max() - 1;
   const auto whole = std::chrono::duration_cast<milliseconds>(duration);
@@ -46,32 +51,48 @@
     if (member.m_record.m_address == tables.m_self.m_address) {
       return;
     }
-    if (member.m_last_heard_at == TimePoint()) {
-      member.m_last_heard_at = now.m_steady;  // a new leader has no reports yet
+    const Duration timeout = tables.m_settings.m_member_silence_timeout;
+    if (member.m_deregister_at == TimePoint()) {
+      member.m_deregister_at = now.m_steady + timeout;
     }
-    const TimePoint deregister_at =
-        member.m_last_heard_at + tables.m_settings.m_member_silence_timeout;
-    if (now.m_steady < deregister_at) {
-      tables.WakeAt(deregister_at);
+    if (now.m_steady < member.m_deregister_at) {
+      tables.WakeAt(member.m_deregister_at);
       return;
     }
-    member.m_last_heard_at = now.m_steady;
+    member.m_deregister_at = now.m_steady + timeout;
     RowWrite write{kClusterTable, kMemberPrefix + member.m_record.m_address,
                    member.m_row_version, std::nullopt};
     tables.m_outbox.emplace_back(WriteRowCommand{std::move(write)});
   });
 }
 
-// Returns the share of members whose reports arrive. The others may still be
-// running and use an equal share of each rate on their own.
-double ReportingShare(const GatewayTables& tables, const Now& now) {
-  size_t reporting = 0;
+// Lets the rates accrue up to now, without the shares of silent members, which
+// may use them on their own.
+void AdvanceRates(GatewayTables& tables, const Now& now) {
+  const TimePoint since = tables.m_rates_advanced_at;
+  double accrued = ToSeconds(now.m_steady - since);
+  tables.m_members.ForEach([&](MemberId, const MemberRow& member) {
+    const Duration silent = member.m_contact.SilentTime(
+        since, now.m_steady, tables.m_settings.m_contact_silence_timeout);
+    accrued -= ToSeconds(silent) *
+               member.m_contact.ShareOfRate(tables.m_members.size());
+  });
+  tables.m_rates_accrued_for += FromSeconds(std::max(0.0, accrued));
+  tables.m_rates_advanced_at = now.m_steady;
+}
+
+std::vector<ShareHolder> ListShareHolders(const GatewayTables& tables,
+                                          const Now& now) {
+  std::vector<ShareHolder> holders;
+  holders.reserve(tables.m_members.size());
   tables.m_members.ForEach([&](MemberId, const MemberRow& member) {
-    const Duration silence = now.m_steady - member.m_last_heard_at;
-    reporting += silence < tables.m_settings.m_contact_silence_timeout ? 1 : 0;
+    const double part = member.m_contact.ShareOfRate(tables.m_members.size());
+    const Duration unreported = member.m_contact.UnreportedTime(
+        now.m_steady, tables.m_settings.m_contact_silence_timeout);
+    holders.push_back(
+        {member.m_record.m_address, part, unreported + kReportAgeMargin});
   });
-  const size_t registered = std::max<size_t>(1, tables.m_members.size());
-  return static_cast<double>(reporting) / static_cast<double>(registered);
+  return holders;
 }
 
 // Logged while reports arrive, so an idle leader is not woken for it.
@@ -93,29 +114,87 @@
           {"issued", std::lround(summary.m_counts.m_issued)},
           {"spent", std::lround(summary.m_counts.m_spent)},
           {"returned", std::lround(summary.m_counts.m_returned)},
+          {"share_charged", std::lround(summary.m_counts.m_share_charged)},
           {"stock", std::lround(summary.m_stock)},
-          {"outstanding", std::lround(summary.m_outstanding)}}});
+          {"outstanding", std::lround(summary.m_outstanding)},
+          {"withheld", std::lround(summary.m_withheld)}}});
+  }
+}
+
+// What the leader knew of a member's use of its shares before a report arrived.
+struct ShareUseBefore {
+  bool m_heard = false;
+  double m_share_of_rate = 0;
+  double m_silent_seconds = 0;
+
+  /// When the report was sent.
+  TimePoint m_reported_at;
+};
+
+// Records a member's report as the newest contact and returns the state before.
+ShareUseBefore RecordContact(GatewayTables& tables,
+                             MemberRow& member,
+                             const MemberReport& report,
+                             const Now& now) {
+  const OwnershipSettings& settings = tables.m_settings;
+  AdvanceRates(tables, now);
+  ShareUseBefore before;
+  before.m_heard = member.m_contact.WasHeard();
+  before.m_share_of_rate =
+      member.m_contact.ShareOfRate(tables.m_members.size());
+  before.m_silent_seconds = ToSeconds(
+      member.m_contact.SilentTime(tables.m_leading_since, now.m_steady,
+                                  settings.m_contact_silence_timeout));
+  member.m_contact.OnReport(BootTime(BootTime::duration(report.m_sent_at)),
+                            report.m_members, now);
+  before.m_reported_at =
+      now.m_steady - member.m_contact.UnreportedTime(
+                         now.m_steady, settings.m_contact_silence_timeout);
+  member.m_deregister_at = now.m_steady + settings.m_member_silence_timeout;
+  member.m_report_sequence = report.m_sequence;
+  return before;
+}
+
+ShareChargeTerms BuildChargeTerms(const TokenLimit& limit,
+                                  const ShareUseBefore& before) {
+  ShareChargeTerms terms;
+  terms.m_reported_at = before.m_reported_at;
+  terms.m_covered =
+      limit.m_rate * before.m_share_of_rate * before.m_silent_seconds;
+  if (!before.m_heard) {
+    // What was used before this leader began counted against its predecessor;
+    // a burst may be left to charge.
+    terms.m_max_charge =
+        std::max(1.0, limit.m_shares_burst * before.m_share_of_rate);
   }
+  return terms;
 }
 
 TokenResponse IssueTokens(GatewayTables& tables,
                           const MemberReport& report,
+                          const ShareUseBefore& before,
                           const Now& now) {
   TokenResponse response;
   response.m_token_ttl = tables.m_settings.m_token_ttl;
   if (!tables.m_routes) {
     return response;
   }
-  const double share = ReportingShare(tables, now);
+  const std::vector<ShareHolder> holders = ListShareHolders(tables, now);
   const DispatcherIdentity member{report.m_address, report.m_incarnation};
   for (const TokenDemand& demand : report.m_demands) {
     const RoutedWorkspace* workspace =
         tables.m_routes->FindWorkspace(demand.m_workspace);
-    if (workspace) {
-      response.m_grants.push_back(tables.m_tokens->Serve(
-          {workspace->m_name, workspace->m_rate * share, workspace->m_burst},
-          member, demand, now.m_steady));
+    if (!workspace) {
+      continue;
     }
+    const TokenLimit limit{workspace->m_name,
+                           workspace->m_rate,
+                           workspace->m_burst,
+                           tables.m_rates_accrued_for,
+                           holders,
+                           ComputeSharesBurst(*workspace, holders.size())};
+    response.m_grants.push_back(tables.m_tokens->Serve(
+        limit, member, demand, BuildChargeTerms(limit, before), now.m_steady));
   }
   LogIssuedTokens(tables, now);
   return response;
@@ -213,8 +292,7 @@
       report.m_sequence <= member->m_report_sequence) {
     return std::nullopt;
   }
-  member->m_last_heard_at = now.m_steady;
-  member->m_report_sequence = report.m_sequence;
+  const ShareUseBefore before = RecordContact(tables, *member, report, now);
   RecordLoads(tables, report);
   ReportResponse response;
   response.m_address = tables.m_self.m_address;
@@ -234,7 +312,7 @@
       WholeMilliseconds(now.m_boot - tables.m_operators_read_at) + 1;
   response.m_store_reachable_for_ms =
       WholeMilliseconds(now.m_steady - tables.m_store_reachable_since);
-  response.m_tokens = IssueTokens(tables, report, now);
+  response.m_tokens = IssueTokens(tables, report, before, now);
   return response;
 }
 
--- a/src/gateway/rate_admission.h
+++ b/src/gateway/rate_admission.h
@@ -13,9 +13,12 @@
 
 namespace foxtail {
 
-/// Result of asking for a request's admission.
+/// Result of asking for a request's admission. An admitted request has a token
+/// of the leader or of the host's equal share, or its workspace has no limit.
 enum class RateDecision {
-  kAdmitted,
+  kUnlimited,
+  kLeaderToken,
+  kEqualShare,
   /// The leader has been asked for tokens; ask again when they arrive.
   kWait,
   kRefused,
@@ -40,30 +43,33 @@
                static_cast<size_t>(AdmissionOutcome::kAdmissionOutcomes)>;
 
 /// Decides on one host which requests are within their workspace's rate. Uses
-/// tokens that the leader issues, and an equal share of the rate without them.
+/// the host's equal share of the rate first, then tokens that the leader
+/// issues. The leader charges both to one budget.
 class RateAdmission {
  public:
   explicit RateAdmission(const OwnershipSettings& settings);
 
-  /// Decides about a request that has just arrived. `members` is the number of
-  /// gateways that share the rate. After `kWait` the request counts as waiting
-  /// until `EndWait`.
+  /// Decides about a request that has just arrived. After `kWait` the request
+  /// counts as waiting until `Continue` decides otherwise.
   RateDecision Begin(const RoutedWorkspace& workspace,
-                     size_t members,
+                     const MemberPosition& position,
                      TimePoint now);
 
-  /// Decides again about a waiting request. Waits no longer than `wait_until`.
+  /// Decides again about a waiting request, when tokens have arrived or at its
+  /// timeout.
   RateDecision Continue(const RoutedWorkspace& workspace,
-                        size_t members,
+                        const MemberPosition& position,
                         TimePoint arrived_at,
-                        TimePoint wait_until,
+                        TimePoint deadline,
                         TimePoint now);
 
-  /// Returns until when a request that arrived at `arrived_at` should wait.
-  static TimePoint WaitDeadline(TimePoint arrived_at);
+  /// Returns the next timeout of a waiting request that arrived at
+  /// `arrived_at`.
+  static TimePoint FindTimeout(TimePoint arrived_at, TimePoint now);
 
-  /// Returns the token of a request that did not run.
-  void ReturnToken(const std::string& workspace, TimePoint now);
+  /// Returns the token of a request that was admitted by `decision` and did not
+  /// run.
+  void ReturnToken(const std::string& workspace, RateDecision decision);
 
   /// Builds the token demands of the next report to the leader.
   std::vector<TokenDemand> BuildDemands(TimePoint now);
@@ -75,16 +81,27 @@
   std::map<std::string, AdmissionCounts> TakeCounts();
 
  private:
-  RateDecision DecideWithoutLeader(const RoutedWorkspace& workspace,
-                                   size_t members,
-                                   TimePoint arrived_at,
-                                   TimePoint now);
-  RateDecision Finish(const std::string& workspace, AdmissionOutcome outcome);
+  RateDecision DecideByReserve(const RoutedWorkspace& workspace,
+                               const MemberPosition& position,
+                               AdmissionOutcome refusal,
+                               TimePoint now);
+  bool IsShareRefilledInTime(const RoutedWorkspace& workspace,
+                             const MemberPosition& position,
+                             TimePoint now);
+  bool IsTimedOut(const std::string& workspace,
+                  TimePoint arrived_at,
+                  TimePoint now) const;
+  RateDecision Count(const std::string& workspace,
+                     AdmissionOutcome outcome,
+                     RateDecision decision);
 
   const OwnershipSettings& m_settings;
   TokenBudget m_budget;
   EqualShareLimiter m_equal_share;
   TimePoint m_leader_last_heard_at;
+
+  /// When the newest report was sent that the leader has answered.
+  TimePoint m_answered_report_sent_at;
   std::map<std::string, AdmissionCounts> m_counts;
 };
 
--- a/src/gateway/rate_limiter.cc
+++ b/src/gateway/rate_limiter.cc
@@ -6,22 +6,22 @@
 
 namespace foxtail {
 
-void RateLimiter::Acquire(const RoutedWorkspace& workspace,
-                          size_t members,
-                          TimePoint deadline) {
+RateDecision RateLimiter::Acquire(const RoutedWorkspace& workspace,
+                                  const MemberPosition& position,
+                                  TimePoint deadline) {
   const TimePoint arrived_at = Clock::now();
-  const TimePoint wait_until =
-      std::min(deadline, RateAdmission::WaitDeadline(arrived_at));
-  RateDecision decision = m_admission.Begin(workspace, members, arrived_at);
+  RateDecision decision = m_admission.Begin(workspace, position, arrived_at);
   while (decision == RateDecision::kWait) {
     m_on_tokens_needed();
-    m_tokens_received.WaitUntil(wait_until);
-    decision = m_admission.Continue(workspace, members, arrived_at, wait_until,
+    m_tokens_received.WaitUntil(std::min(
+        deadline, RateAdmission::FindTimeout(arrived_at, Clock::now())));
+    decision = m_admission.Continue(workspace, position, arrived_at, deadline,
                                     Clock::now());
   }
   if (decision == RateDecision::kRefused) {
     throw Error(ErrorCode::kRateExceeded, workspace.m_name);
   }
+  return decision;
 }
 
 void RateLimiter::OnLeaderTokens(const LeaderTokens& leader_tokens) {
--- a/src/gateway/rate_limiter.h
+++ b/src/gateway/rate_limiter.h
@@ -21,11 +21,11 @@
   }
 
   /// Acquires a token for a request. May block the calling fiber until the
-  /// leader responds. `members` is the number of gateways that share the rate.
-  /// Throws `Error(kRateExceeded)`.
-  void Acquire(const RoutedWorkspace& workspace,
-               size_t members,
-               TimePoint deadline);
+  /// leader responds. Returns what admitted the request. Throws
+  /// `Error(kRateExceeded)`.
+  RateDecision Acquire(const RoutedWorkspace& workspace,
+                       const MemberPosition& position,
+                       TimePoint deadline);
 
   /// Adds the tokens that the leader issued in response to a report.
   void OnLeaderTokens(const LeaderTokens& leader_tokens);
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -76,6 +76,9 @@
   std::shared_ptr<const RouteIndex> m_routes;
   const RouteRow* m_route = nullptr;
   const RoutedWorkspace* m_workspace = nullptr;
+
+  /// What admitted the request within the workspace's rate.
+  RateDecision m_admitted_by = RateDecision::kUnlimited;
   std::string m_service;
   bool m_sharded = false;
   uint32_t m_priority = 0;
@@ -192,7 +195,7 @@
   } catch (const Error&) {
     if (context.m_workspace && !context.m_maybe_ran) {
       m_rate_limiter.GetAdmission().ReturnToken(context.m_workspace->m_name,
-                                                Clock::now());
+                                                context.m_admitted_by);
     }
     throw;
   }
@@ -227,9 +230,9 @@
 
 void RequestHandler::Admit(RequestContext& context) {
   if (context.m_workspace) {
-    m_rate_limiter.Acquire(*context.m_workspace,
-                           context.m_snapshot->m_member_count,
-                           context.m_deadline);
+    context.m_admitted_by = m_rate_limiter.Acquire(
+        *context.m_workspace, context.m_snapshot->m_position,
+        context.m_deadline);
   }
   context.m_service = m_splitter.Choose(*context.m_route);
   const RoutedService* service =
@@ -533,6 +536,8 @@
 
 MemberReport RequestHandler::CollectReport(TimePoint now, bool with_loads) {
   MemberReport report;
+  report.m_members =
+      m_snapshot ? static_cast<uint32_t>(m_snapshot->m_position.m_members) : 0;
   report.m_demands = m_rate_limiter.GetAdmission().BuildDemands(now);
   if (!with_loads) {
     return report;
--- a/src/gateway/routing_snapshot.cc
+++ b/src/gateway/routing_snapshot.cc
@@ -54,6 +54,18 @@
   return found == m_endpoints.end() ? nullptr : &found->second;
 }
 
+MemberPosition FindPosition(const GatewayTables& tables) {
+  MemberPosition position;
+  bool registered = false;
+  tables.m_members.ForEach([&](MemberId, const MemberRow& member) {
+    const std::string& address = member.m_record.m_address;
+    registered = registered || address == tables.m_self.m_address;
+    position.m_index += address < tables.m_self.m_address ? 1 : 0;
+  });
+  position.m_members = registered ? tables.m_members.size() : 0;
+  return position;
+}
+
 std::shared_ptr<const RoutingSnapshot> BuildSnapshot(
     const GatewayTables& tables) {
   auto snapshot = std::make_shared<RoutingSnapshot>();
@@ -66,6 +78,7 @@
   for (const auto& [service, record] : tables.m_owners) {
     snapshot->m_endpoints[service].m_ranges = BuildRanges(record);
   }
+  snapshot->m_position = FindPosition(tables);
   snapshot->m_member_count = std::max<size_t>(1, tables.m_members.size());
   return snapshot;
 }
--- a/src/gateway/routing_snapshot.h
+++ b/src/gateway/routing_snapshot.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "gateway/equal_share_limiter.h"
 #include "gateway/gateway_tables.h"
 #include "runtime/address.h"
 
@@ -51,10 +52,16 @@
   /// Number of registered gateways, at least 1.
   size_t m_member_count = 1;
 
+  /// This gateway's place among them.
+  MemberPosition m_position;
+
   /// Returns the endpoints of a service, or null.
   const ServiceEndpoints* FindEndpoints(const std::string& service) const;
 };
 
+/// Returns this process's place among the registered gateways.
+MemberPosition FindPosition(const GatewayTables& tables);
+
 /// Builds a snapshot from the control tables.
 std::shared_ptr<const RoutingSnapshot> BuildSnapshot(
     const GatewayTables& tables);
--- a/src/messages/sync_messages.h
+++ b/src/messages/sync_messages.h
@@ -208,9 +208,20 @@
   double m_returned = 0;
 
   /// Requested tokens, and how many of them are for requests that already wait.
-  /// The latter are used as soon as they arrive and never reported.
   double m_requested = 0;
   double m_waiting = 0;
+
+  /// Tokens of requests that were not executed. They may have been reported as
+  /// spent before. Each is reported once.
+  double m_refunded = 0;
+
+  /// Tokens of the host's own share that were used since its process started,
+  /// and how many of them no issuer has confirmed to have charged.
+  int64_t m_share_used = 0;
+  int64_t m_share_uncharged = 0;
+
+  /// Tokens left in the host's own share.
+  double m_share_stock = 0;
 };
 
 /// Request of an entry to the controller of the access cell.
@@ -224,8 +235,11 @@
   std::string m_workspace;
   double m_tokens = 0;
 
-  /// How many of `m_tokens` are for requests that already wait.
-  double m_for_waiting = 0;
+  /// The rate does not yield the rest of the demand soon.
+  bool m_denied = false;
+
+  /// `m_share_used` of the demand: the issuer has charged this use.
+  int64_t m_share_charged = 0;
 };
 
 /// Response of the controller of the access cell to an entry.
--- a/src/traffic/token_budget.cc
+++ b/src/traffic/token_budget.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace foxtail {
 namespace {
@@ -28,15 +29,11 @@
 }
 
 // Removes up to `tokens` tokens from the stock and returns the number removed.
-// The newest are removed first, because the oldest are used first. Tokens that
-// the issuer already counts as used cannot be returned.
+// The newest are removed first, because the oldest are used first.
 double ReclaimTokens(TokenBudgetRow& row, double tokens) {
   double reclaimed = 0;
   for (auto batch = row.m_batches.rbegin(); batch != row.m_batches.rend();
        ++batch) {
-    if (batch->m_counted_as_spent) {
-      continue;
-    }
     const double part = std::min(batch->m_tokens, tokens - reclaimed);
     batch->m_tokens -= part;
     reclaimed += part;
@@ -52,7 +49,8 @@
 }
 
 double WholeDemandShare::Target(const TokenBudgetRow& row) const {
-  return std::floor(row.m_demand_rate * ToSeconds(m_horizon)) +
+  const double stock = row.m_demand_rate * ToSeconds(m_horizon);
+  return std::floor(std::min(stock, row.m_stock_limit)) +
          static_cast<double>(row.m_waiting);
 }
 
@@ -101,21 +99,15 @@
     const double part = std::min(batch.m_tokens, missing);
     batch.m_tokens -= part;
     missing -= part;
-    row.m_unreported += batch.m_counted_as_spent ? 0 : part;
+    row.m_unreported += part;
   }
   return true;
 }
 
-void TokenBudget::ReturnToken(const std::string& workspace, TimePoint until) {
-  TokenBudgetRow& row = FindOrAddRow(workspace);
-  if (row.m_unreported >= 1) {
-    row.m_unreported -= 1;
-    row.m_batches.push_back({1, until, false});
-  } else {
-    // The issuer already counts the token as used, so it can only be reused on
-    // this thread and must not be reported or returned.
-    row.m_batches.push_back({1, until, true});
-  }
+// The token is not used again here: it would outlive the time for which the
+// issuer counts it as outstanding.
+void TokenBudget::ReturnToken(const std::string& workspace) {
+  FindOrAddRow(workspace).m_refunded += 1;
 }
 
 void TokenBudget::AddWaiting(const std::string& workspace) {
@@ -133,9 +125,10 @@
     const double stock = CountStock(row, now);
     const double target = m_strategy->Target(row);
     const bool idle = now - row.m_last_arrival_at > kIdleTimeout;
-    needed = needed || row.m_waiting > 0 ||
-             (!idle && target > 0 && stock < target * kRefillThreshold) ||
-             (idle && (stock > 0 || row.m_unreported > 0));
+    needed =
+        needed || row.m_waiting > 0 ||
+        (!idle && target > 0 && stock < target * kRefillThreshold) ||
+        (idle && (stock > 0 || row.m_unreported > 0 || row.m_refunded > 0));
   });
   return needed;
 }
@@ -159,28 +152,27 @@
       demand.m_waiting =
           std::min(demand.m_requested, static_cast<double>(row.m_waiting));
     }
+    demand.m_refunded = std::exchange(row.m_refunded, 0);
     row.m_unreported = 0;
-    row.m_requested = demand.m_requested;
-    if (demand.m_spent > 0 || demand.m_returned > 0 || demand.m_requested > 0) {
+    if (demand.m_spent > 0 || demand.m_returned > 0 || demand.m_refunded > 0 ||
+        demand.m_requested > 0) {
       demands.push_back(std::move(demand));
     }
   });
   return demands;
 }
 
-void TokenBudget::OnGrants(const TokenResponse& response, TimePoint sent_at) {
+void TokenBudget::OnGrants(const TokenResponse& response,
+                           TimePoint sent_at,
+                           TimePoint now) {
   for (const TokenGrant& grant : response.m_grants) {
     TokenBudgetRow& row = FindOrAddRow(grant.m_workspace);
-    const TimePoint until = sent_at + response.m_token_ttl;
-    const double stock = grant.m_tokens - grant.m_for_waiting;
-    if (grant.m_for_waiting > 0) {
-      row.m_batches.push_back({grant.m_for_waiting, until, true});
+    if (grant.m_tokens > 0) {
+      row.m_batches.push_back({grant.m_tokens, sent_at + response.m_token_ttl});
     }
-    if (stock > 0) {
-      row.m_batches.push_back({stock, until, false});
-    }
-    if (grant.m_tokens < row.m_requested) {
+    if (grant.m_denied) {
       row.m_denied_at = sent_at;
+      row.m_denial_received_at = now;
     }
   }
 }
@@ -189,4 +181,9 @@
   return FindOrAddRow(workspace).m_denied_at > since;
 }
 
+bool TokenBudget::HasReceivedDenial(const std::string& workspace,
+                                    TimePoint since) {
+  return FindOrAddRow(workspace).m_denial_received_at > since;
+}
+
 }  // namespace foxtail
--- a/src/traffic/token_budget.h
+++ b/src/traffic/token_budget.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -19,9 +20,6 @@
   struct TokenBatch {
     double m_tokens = 0;
     TimePoint m_until;
-
-    /// The issuer already counts these tokens as used.
-    bool m_counted_as_spent = false;
   };
   std::vector<TokenBatch> m_batches;
 
@@ -29,14 +27,21 @@
   /// repeated: its tokens expire at the issuer instead.
   double m_unreported = 0;
 
-  /// Tokens requested by the latest request, and the time at which the last
-  /// request was sent for which the issuer granted fewer than requested.
-  double m_requested = 0;
+  /// Tokens to report as refunded.
+  double m_refunded = 0;
+
+  /// When the last request was sent that the issuer denied.
   TimePoint m_denied_at;
 
+  /// When the response to that request arrived.
+  TimePoint m_denial_received_at;
+
   /// Requests that wait for a token.
   size_t m_waiting = 0;
 
+  /// Most tokens to keep in stock for future requests.
+  double m_stock_limit = std::numeric_limits<double>::infinity();
+
   /// Client requests since `m_measured_at`, and their smoothed rate per second.
   double m_arrivals = 0;
   double m_demand_rate = 0;
@@ -74,9 +79,10 @@
   Duration m_horizon;
 };
 
-/// Like `DemandShare`, but rounds down: a demand of less than one token keeps
-/// no stock. Suited to many hosts that each receive a small part of a small
-/// rate, where one token per host would use up the burst.
+/// Like `DemandShare`, but rounds down, so that a demand of less than one token
+/// keeps no stock, and keeps to the stock limit. Suited to many hosts that each
+/// receive a small part of a small rate, where one token per host would use up
+/// the burst.
 class WholeDemandShare : public ShareStrategy {
  public:
   explicit WholeDemandShare(Duration horizon) : m_horizon(horizon) {}
@@ -97,14 +103,23 @@
   /// Uses one token if one is available. Returns whether it was.
   bool TryAcquire(const std::string& workspace, TimePoint now);
 
-  /// Returns the token of a request that was not executed to the stock, where
-  /// it can be used until `until`.
-  void ReturnToken(const std::string& workspace, TimePoint until);
+  /// Returns the token of a request that was not executed to the issuer.
+  void ReturnToken(const std::string& workspace);
+
+  /// Limits the stock that is kept of a workspace for future requests.
+  void SetStockLimit(const std::string& workspace, double tokens) {
+    FindOrAddRow(workspace).m_stock_limit = tokens;
+  }
 
   /// Records that a request begins or ends waiting for a token.
   void AddWaiting(const std::string& workspace);
   void RemoveWaiting(const std::string& workspace);
 
+  /// Returns how many requests wait for a token.
+  size_t CountWaiting(const std::string& workspace) {
+    return FindOrAddRow(workspace).m_waiting;
+  }
+
   /// Returns whether a request to the issuer should be sent now.
   bool NeedsTokens(TimePoint now);
 
@@ -114,12 +129,17 @@
 
   /// Adds the tokens granted in response to demands that were sent at
   /// `sent_at`.
-  void OnGrants(const TokenResponse& response, TimePoint sent_at);
+  void OnGrants(const TokenResponse& response,
+                TimePoint sent_at,
+                TimePoint now);
 
-  /// Returns whether the issuer granted the workspace fewer tokens than
-  /// requested by a request that was sent after `since`.
+  /// Returns whether the issuer denied a request of the workspace that was sent
+  /// after `since`.
   bool WasDenied(const std::string& workspace, TimePoint since);
 
+  /// Returns whether a denial has arrived after `since`.
+  bool HasReceivedDenial(const std::string& workspace, TimePoint since);
+
  private:
   TokenBudgetRow& FindOrAddRow(const std::string& workspace);
   void UpdateDemandRate(TokenBudgetRow& row, TimePoint now);
--- a/src/traffic/token_issuer.cc
+++ b/src/traffic/token_issuer.cc
@@ -10,12 +10,17 @@
 // therefore grant tokens immediately, with an empty stock and the rest of the
 // burst as its limit.
 constexpr double kMaxOutstandingFraction = 0.5;
+
+// A demand is denied if the rate does not yield what is missing in this time. A
+// smaller shortage passes while the requests wait.
+constexpr std::chrono::milliseconds kDenialHorizon{100};
+
 constexpr double kRoundingError = 1e-9;  // tokens
 
-// Outstanding tokens: those of this issuer alone, and those that include what a
-// previous issuer may have granted.
+// Outstanding tokens: those in the dispatchers' stocks, and all of them with
+// those for waiting requests and what a previous issuer may have granted.
 struct OutstandingSum {
-  double m_own = 0;
+  double m_in_stocks = 0;
   double m_all = 0;
 };
 
@@ -25,7 +30,7 @@
   OutstandingSum sum;
   for (const auto& out : row.m_outstanding) {
     sum.m_all += out.m_tokens;
-    sum.m_own += out.m_dispatcher == DispatcherIdentity() ? 0 : out.m_tokens;
+    sum.m_in_stocks += out.m_for_stock ? out.m_tokens : 0;
   }
   return sum;
 }
@@ -35,16 +40,78 @@
   return std::max(1.0, limit.m_burst * kMaxOutstandingFraction);
 }
 
-// Adds the accrued tokens. The stock and the outstanding tokens together never
-// exceed the burst.
+// Adds the accrued and the refunded tokens. The stock and the outstanding
+// tokens together never exceed the burst.
 void Refill(IssuedTokensRow& row,
             const TokenLimit& limit,
-            double outstanding,
-            TimePoint now) {
-  const double accrued = limit.m_rate * ToSeconds(now - row.m_refilled_at);
-  row.m_stock = std::min(row.m_stock + accrued,
+            double refunded,
+            double outstanding) {
+  const double accrued =
+      limit.m_rate * ToSeconds(limit.m_accrued_for - row.m_accrued_for);
+  row.m_stock = std::min(row.m_stock + accrued + refunded,
                          std::max(0.0, limit.m_burst - outstanding));
-  row.m_refilled_at = now;
+  row.m_accrued_for = limit.m_accrued_for;
+}
+
+// Returns the most that the hosts can have used of their shares since their
+// last reports.
+double CountUnreportedUse(const TokenLimit& limit) {
+  double seconds = 0;
+  for (const ShareHolder& holder : limit.m_holders) {
+    seconds += holder.m_part * ToSeconds(holder.m_unreported_for);
+  }
+  return limit.m_shares_burst + limit.m_rate * seconds;
+}
+
+// Like `CountUnreportedUse`, but counts for each host whose report named the
+// workspace no more than it had left then and has accrued since.
+double CountUnreportedUseByHost(const IssuedTokensRow& row,
+                                const TokenLimit& limit,
+                                TimePoint now) {
+  double sum = 0;
+  for (const ShareHolder& holder : limit.m_holders) {
+    const double rate = limit.m_rate * holder.m_part;
+    double most = limit.m_shares_burst * holder.m_part +
+                  rate * ToSeconds(holder.m_unreported_for);
+    const auto use = row.m_share_uses.find(holder.m_address);
+    if (use != row.m_share_uses.end()) {
+      const Duration elapsed = now - use->second.m_reported_at;
+      most = std::min(most, use->second.m_stock + rate * ToSeconds(elapsed));
+    }
+    sum += most;
+  }
+  return sum;
+}
+
+// Returns the tokens that must stay in stock. The closer count takes longer, so
+// it is made only when the simple one leaves too little for a demand.
+double CountWithheld(const IssuedTokensRow& row,
+                     const TokenLimit& limit,
+                     double requested,
+                     TimePoint now) {
+  const double most = CountUnreportedUse(limit);
+  return row.m_stock - most >= requested
+             ? most
+             : CountUnreportedUseByHost(row, limit, now);
+}
+
+// Returns the tokens to charge for a host's use of its share since its last
+// report, and records the report.
+double TakeShareCharge(IssuedTokensRow& row,
+                       const DispatcherIdentity& dispatcher,
+                       const TokenDemand& demand,
+                       const ShareChargeTerms& terms) {
+  IssuedTokensRow::ShareUse& use = row.m_share_uses[dispatcher.m_address];
+  const bool known = use.m_incarnation == dispatcher.m_incarnation;
+  const int64_t unreported =
+      known ? demand.m_share_used - use.m_used : demand.m_share_uncharged;
+  use = {dispatcher.m_incarnation, demand.m_share_used, demand.m_share_stock,
+         terms.m_reported_at};
+  const auto tokens = static_cast<double>(unreported);
+  // A negative use, of returned tokens, is a refund.
+  return unreported < 0
+             ? tokens
+             : std::clamp(tokens - terms.m_covered, 0.0, terms.m_max_charge);
 }
 
 // Removes up to `tokens` outstanding tokens of a dispatcher; returns the number
@@ -78,11 +145,10 @@
                                            TimePoint now) {
   const auto [row, added] = m_rows.try_emplace(limit.m_workspace);
   if (added) {
-    row->second.m_refilled_at = m_began_at;
     const TimePoint until = m_began_at + m_token_ttl;
     if (now < until) {
       row->second.m_outstanding.push_back(
-          {DispatcherIdentity(), OutstandingLimit(limit), until});
+          {DispatcherIdentity(), OutstandingLimit(limit), until, false});
     }
   }
   return row->second;
@@ -91,38 +157,55 @@
 TokenGrant TokenIssuer::Serve(const TokenLimit& limit,
                               const DispatcherIdentity& dispatcher,
                               const TokenDemand& demand,
+                              const ShareChargeTerms& terms,
                               TimePoint now) {
   IssuedTokensRow& row = FindOrAddRow(limit, now);
   RemoveOutstanding(row, dispatcher, demand.m_spent);
   const double returned = RemoveOutstanding(row, dispatcher, demand.m_returned);
   const OutstandingSum outstanding = SumOutstanding(row, now);
-  Refill(row, limit, outstanding.m_all, now);
-  row.m_stock = std::min(row.m_stock + returned,
-                         std::max(0.0, limit.m_burst - outstanding.m_all));
+  // Charged after the refill: the use may be newer than the tokens that the
+  // burst cut off.
+  const double charge = TakeShareCharge(row, dispatcher, demand, terms);
+  const double refunded = returned + demand.m_refunded - std::min(0.0, charge);
+  Refill(row, limit, refunded, outstanding.m_all);
+  row.m_stock -= std::max(0.0, charge);
   // Only whole tokens are granted: a fraction admits no request and would stay
   // unused.
+  row.m_withheld = demand.m_requested > 0
+                       ? CountWithheld(row, limit, demand.m_requested, now)
+                       : 0;
+  const double available = std::max(0.0, row.m_stock - row.m_withheld);
   const double for_waiting =
-      std::floor(std::min(demand.m_waiting, row.m_stock) + kRoundingError);
-  row.m_stock -= for_waiting;
+      std::floor(std::min(demand.m_waiting, available) + kRoundingError);
   const double allowance =
-      std::max(0.0, OutstandingLimit(limit) - outstanding.m_own);
+      std::max(0.0, OutstandingLimit(limit) - outstanding.m_in_stocks);
   const double stock =
       std::floor(std::max(0.0, std::min({demand.m_requested - for_waiting,
-                                         row.m_stock, allowance})) +
+                                         available - for_waiting, allowance})) +
                  kRoundingError);
+  const double missing = demand.m_requested - for_waiting - stock;
+  const bool denied =
+      missing > std::max(1.0, limit.m_rate * ToSeconds(kDenialHorizon));
+  row.m_stock -= for_waiting + stock;
+  if (for_waiting > 0) {
+    row.m_outstanding.push_back(
+        {dispatcher, for_waiting, now + m_token_ttl, false});
+  }
   if (stock > 0) {
-    row.m_stock -= stock;
-    row.m_outstanding.push_back({dispatcher, stock, now + m_token_ttl});
+    row.m_outstanding.push_back({dispatcher, stock, now + m_token_ttl, true});
   }
   row.m_limit = limit;
+  row.m_limit.m_holders = {};  // valid during this call only
   row.m_counts.m_requested += demand.m_requested;
   row.m_counts.m_issued += for_waiting + stock;
   row.m_counts.m_spent += demand.m_spent;
-  row.m_counts.m_returned += returned;
+  row.m_counts.m_returned += returned + demand.m_refunded;
+  row.m_counts.m_share_charged += charge;
   TokenGrant grant;
   grant.m_workspace = limit.m_workspace;
   grant.m_tokens = for_waiting + stock;
-  grant.m_for_waiting = for_waiting;
+  grant.m_denied = denied;
+  grant.m_share_charged = demand.m_share_used;
   return grant;
 }
 
@@ -131,7 +214,7 @@
   for (auto& [workspace, row] : m_rows) {
     if (row.m_counts.m_issued < row.m_counts.m_requested) {
       summaries.push_back({row.m_limit, row.m_counts, row.m_stock,
-                           SumOutstanding(row, now).m_all});
+                           SumOutstanding(row, now).m_all, row.m_withheld});
     }
     row.m_counts = {};
   }
--- a/tests/gateway/rate_limit_test.cc
+++ b/tests/gateway/rate_limit_test.cc
@@ -134,23 +134,32 @@
                            return trouble.param.m_name;
                          });
 
+class RateLimitServiceTest : public testing::TestWithParam<milliseconds> {};
+
 // Callers within their rate must not be refused because the leader is slow.
-TEST(RateLimitServiceTest, WorkspaceWithinItsRateIsServedWithASlowLeader) {
+TEST_P(RateLimitServiceTest, WorkspaceWithinItsRateIsServedWithASlowLeader) {
   const auto world = StartWorld();
   for (size_t host = 0; host < kHosts; ++host) {
     world->SetClientRate(host, kRate / kHosts * kUnevenlyBelowRate[host]);
   }
   world->Run(seconds(2));
-  for (const auto delay : {milliseconds(40), milliseconds(150),
-                           milliseconds(450), milliseconds(1500)}) {
-    world->m_requests.Clear();
-    DelayLeader(*world, delay);
-    world->Run(seconds(6));
-    const auto served = static_cast<double>(world->m_requests.m_run_at.size());
-    const auto refused = static_cast<double>(world->m_requests.m_refused);
-    EXPECT_LE(refused, 0.02 * (served + refused)) << delay.count() << " ms";
-  }
+  world->m_requests.Clear();
+  DelayLeader(*world, GetParam());
+  world->Run(seconds(6));
+  const auto served = static_cast<double>(world->m_requests.m_run_at.size());
+  const auto refused = static_cast<double>(world->m_requests.m_refused);
+  EXPECT_LE(refused, 0.02 * (served + refused));
 }
 
+INSTANTIATE_TEST_SUITE_P(Delays,
+                         RateLimitServiceTest,
+                         testing::Values(milliseconds(40),
+                                         milliseconds(150),
+                                         milliseconds(450),
+                                         milliseconds(1500)),
+                         [](const auto& delay) {
+                           return std::to_string(delay.param.count()) + "ms";
+                         });
+
 }  // namespace
 }  // namespace foxtail
--- a/tests/support/fake_clients.cc
+++ b/tests/support/fake_clients.cc
@@ -3,6 +3,11 @@
 #include <algorithm>
 
 namespace foxtail {
+namespace {
+
+constexpr std::chrono::seconds kDeadline{1};
+
+}  // namespace
 
 size_t RequestRecord::CountMostRunWithin(Duration window) const {
   size_t most = 0;
@@ -22,38 +27,38 @@
 }
 
 void FakeClients::Step(const RoutedWorkspace& workspace,
-                       size_t members,
+                       const MemberPosition& position,
                        TimePoint now,
                        Duration step) {
-  std::erase_if(m_turned_away_at, [&](TimePoint at) {
-    if (now >= at) {
-      m_admission.ReturnToken(workspace.m_name, now);
+  std::erase_if(m_turned_away, [&](const TurnedAway& request) {
+    if (now >= request.m_at) {
+      m_admission.ReturnToken(workspace.m_name, request.m_admitted_by);
     }
-    return now >= at;
+    return now >= request.m_at;
   });
-  DecideWaiting(workspace, members, now);
+  DecideWaiting(workspace, position, now);
   for (m_due += m_rate * ToSeconds(step); m_due >= 1; m_due -= 1) {
-    Arrive(workspace, members, now);
+    Arrive(workspace, position, now);
   }
 }
 
 void FakeClients::Arrive(const RoutedWorkspace& workspace,
-                         size_t members,
+                         const MemberPosition& position,
                          TimePoint now) {
-  const RateDecision decision = m_admission.Begin(workspace, members, now);
+  const RateDecision decision = m_admission.Begin(workspace, position, now);
   if (decision == RateDecision::kWait) {
-    m_waiting.push_back({now, RateAdmission::WaitDeadline(now)});
+    m_waiting.push_back({now, now + kDeadline});
   } else {
     Finish(decision, now);
   }
 }
 
 void FakeClients::DecideWaiting(const RoutedWorkspace& workspace,
-                                size_t members,
+                                const MemberPosition& position,
                                 TimePoint now) {
   std::erase_if(m_waiting, [&](const Waiting& waiting) {
     const RateDecision decision = m_admission.Continue(
-        workspace, members, waiting.m_arrived_at, waiting.m_wait_until, now);
+        workspace, position, waiting.m_arrived_at, waiting.m_deadline, now);
     if (decision == RateDecision::kWait) {
       return false;
     }
@@ -70,7 +75,7 @@
   m_turned_away_due += m_turned_away_fraction;
   if (m_turned_away_due >= 1) {
     m_turned_away_due -= 1;
-    m_turned_away_at.push_back(now + m_turned_away_delay);
+    m_turned_away.push_back({decision, now + m_turned_away_delay});
   } else {
     m_record.m_run_at.push_back(now);
   }
--- a/tests/support/fake_clients.h
+++ b/tests/support/fake_clients.h
@@ -29,7 +29,7 @@
   /// Lets the requests of `step` arrive and decides about them and the waiting
   /// ones.
   void Step(const RoutedWorkspace& workspace,
-            size_t members,
+            const MemberPosition& position,
             TimePoint now,
             Duration step);
 
@@ -49,12 +49,14 @@
  private:
   struct Waiting {
     TimePoint m_arrived_at;
-    TimePoint m_wait_until;
+    TimePoint m_deadline;
   };
 
-  void Arrive(const RoutedWorkspace& workspace, size_t members, TimePoint now);
+  void Arrive(const RoutedWorkspace& workspace,
+              const MemberPosition& position,
+              TimePoint now);
   void DecideWaiting(const RoutedWorkspace& workspace,
-                     size_t members,
+                     const MemberPosition& position,
                      TimePoint now);
   void Finish(RateDecision decision, TimePoint now);
 
@@ -63,8 +65,12 @@
   double m_turned_away_due = 0;
   std::vector<Waiting> m_waiting;
 
-  /// When servers turn admitted requests away.
-  std::vector<TimePoint> m_turned_away_at;
+  /// An admitted request that a server turns away at `m_at`.
+  struct TurnedAway {
+    RateDecision m_admitted_by;
+    TimePoint m_at;
+  };
+  std::vector<TurnedAway> m_turned_away;
 };
 
 }  // namespace foxtail
--- a/tests/support/gateway_world.cc
+++ b/tests/support/gateway_world.cc
@@ -131,7 +131,8 @@
   fake.m_tables.m_self = {HostAddress(host), std::to_string(fake.m_incarnation),
                           "dc-0", fake.m_processor_share};
   fake.m_tables.m_started_at = m_now;
-  fake.m_next_report_at = m_now;
+  fake.m_report_schedule =
+      std::make_unique<ReportSchedule>(fake.m_tables.m_settings);
   const double client_rate = fake.m_clients ? fake.m_clients->m_rate : 0;
   fake.m_clients =
       std::make_unique<FakeClients>(fake.m_tables.m_settings, m_requests);
@@ -177,30 +178,30 @@
   FakeHost& fake = m_hosts[host];
   for (const LeaderTokens& tokens :
        std::exchange(fake.m_tables.m_leader_tokens, {})) {
+    fake.m_report_schedule->OnAnswer(tokens.m_report_sent_at);
     fake.m_clients->m_admission.OnLeaderTokens(tokens, m_now);
   }
   const RoutedWorkspace* workspace =
       fake.m_tables.m_routes ? fake.m_tables.m_routes->FindWorkspace(kWorkspace)
                              : nullptr;
   if (workspace) {
-    const size_t members = std::max<size_t>(1, fake.m_tables.m_members.size());
-    fake.m_clients->Step(*workspace, members, m_now, kStep);
+    fake.m_clients->Step(*workspace, FindPosition(fake.m_tables), m_now, kStep);
   }
 }
 
 void GatewayWorld::SendReportIfDue(size_t host) {
   FakeHost& fake = m_hosts[host];
-  const OwnershipSettings& settings = fake.m_tables.m_settings;
-  const bool early =
-      fake.m_clients->IsWaiting() &&
-      m_now >= fake.m_last_report_at + settings.m_min_report_interval;
-  if (!early && m_now < fake.m_next_report_at) {
+  if (fake.m_clients->IsWaiting()) {
+    fake.m_report_schedule->OnTokensNeeded();
+  }
+  if (m_now < fake.m_report_schedule->FindNextReport()) {
     return;
   }
-  fake.m_last_report_at = m_now;
-  fake.m_next_report_at = m_now + settings.m_report_period;
+  fake.m_report_schedule->OnReport(m_now);
   MemberReport report;
   report.m_loads = fake.m_loads;
+  report.m_members =
+      static_cast<uint32_t>(FindPosition(fake.m_tables).m_members);
   report.m_demands = fake.m_clients->m_admission.BuildDemands(m_now);
   MemberSystem::SendReport(fake.m_tables, std::move(report), ReadNow());
 }
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -11,6 +11,7 @@
 
 #include "gateway/directory_system.h"
 #include "gateway/gateway_tables.h"
+#include "gateway/report_schedule.h"
 #include "support/fake_clients.h"
 
 namespace foxtail {
@@ -69,7 +70,6 @@
   /// Datagrams to and from the other hosts are lost.
   bool m_isolated = false;
   uint64_t m_incarnation = 0;
-  TimePoint m_next_report_at;
 
   /// Datagrams to and from this host take this much longer.
   Duration m_datagram_delay{};
@@ -79,7 +79,7 @@
 
   /// Clients of workspace `kWorkspace`; new for each process.
   std::unique_ptr<FakeClients> m_clients;
-  TimePoint m_last_report_at;
+  std::unique_ptr<ReportSchedule> m_report_schedule;
 };
 
 /// Simulates several hosts, servers and the store on a simulated clock, in
--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -166,7 +166,7 @@
   TokenResponse response;
   response.m_token_ttl = milliseconds(1000);
   response.m_grants = {{"club", 2}};
-  budget.OnGrants(response, start);
+  budget.OnGrants(response, start, start);
   EXPECT_TRUE(budget.TryAcquire("club", start));
   EXPECT_FALSE(budget.TryAcquire("club", start + milliseconds(1000)));
 }
@@ -177,7 +177,7 @@
   TokenResponse response;
   response.m_token_ttl = milliseconds(1000);
   response.m_grants = {{"club", 5}};
-  budget.OnGrants(response, start);
+  budget.OnGrants(response, start, start);
   ASSERT_TRUE(budget.TryAcquire("club", start));
   auto demands = budget.BuildDemands(start);
   ASSERT_EQ(demands.size(), 1U);
@@ -187,5 +187,38 @@
   EXPECT_TRUE(budget.BuildDemands(start).empty());
 }
 
+// A token that a request gave back was used again after the issuer had stopped
+// counting it.
+TEST(TokenBudgetTest, ReturnedTokenIsRefundedAndNotUsedAgain) {
+  TokenBudget budget(std::make_unique<DemandShare>(milliseconds(100)));
+  const TimePoint start{milliseconds(10'000)};
+  TokenResponse response;
+  response.m_token_ttl = milliseconds(1000);
+  response.m_grants = {{"club", 1}};
+  budget.OnGrants(response, start, start);
+  ASSERT_TRUE(budget.TryAcquire("club", start));
+  budget.ReturnToken("club");
+  EXPECT_FALSE(budget.TryAcquire("club", start));
+  const auto demands = budget.BuildDemands(start);
+  ASSERT_EQ(demands.size(), 1U);
+  EXPECT_EQ(demands[0].m_refunded, 1);
+  EXPECT_TRUE(budget.BuildDemands(start).empty());
+}
+
+// Tokens for requests that had stopped waiting were used without a report.
+TEST(TokenBudgetTest, LateTokensAreReportedWhenUsed) {
+  TokenBudget budget(std::make_unique<DemandShare>(milliseconds(100)));
+  const TimePoint start{milliseconds(10'000)};
+  budget.AddWaiting("club");
+  EXPECT_EQ(budget.BuildDemands(start).at(0).m_waiting, 1);
+  budget.RemoveWaiting("club");
+  TokenResponse response;
+  response.m_token_ttl = milliseconds(1000);
+  response.m_grants = {{"club", 1}};
+  budget.OnGrants(response, start, start + milliseconds(200));
+  EXPECT_TRUE(budget.TryAcquire("club", start + milliseconds(300)));
+  EXPECT_EQ(budget.BuildDemands(start + milliseconds(400)).at(0).m_spent, 1);
+}
+
 }  // namespace
 }  // namespace foxtail
