Stop reading a response that never ends

Seen: EndlessResponseTest sends seven kinds of such bytes. Six were cut at a limit. An endless extension of a chunk was not: the client took 2.2 GB in 10 s, past its deadline of 5 s, until the server stopped. Two causes: the parser has no limit for extensions, so the read buffer grew; and a read whose input is always ready never waits, so it never met its deadline.

Change: the read buffer holds 128 KB at most; an operation that begins after its deadline fails as timed out. The gateway takes responses of 8 MB at most, not 64 MB: a few endless ones at a time must fit into the memory of a small host.

Evidence: ChunkExtension and ReadFailsAfterItsDeadline failed before and pass; 173 of 173 unit tests pass.

--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -10,12 +10,17 @@
 
 using std::chrono::milliseconds;
 
+// A faulty server may send bytes without end. A few such responses at a time
+// must fit into the memory of a small host.
+constexpr size_t kResponseBodyLimit = 8 * 1024 * 1024;  // bytes
+
 // Backend servers close idle connections after some seconds. The shorter limit
 // here keeps requests off connections that are about to close.
 constexpr HttpClientSettings kClientSettings{
     .m_max_idle_connections = 16,
     .m_max_idle_time = std::chrono::seconds(6),
-    .m_connect_timeout = milliseconds(300)};
+    .m_connect_timeout = milliseconds(300),
+    .m_body_limit = kResponseBodyLimit};
 
 // Responses are accepted for this long after the deadline that was sent to the
 // server.
--- a/src/runtime/fiber_stream.h
+++ b/src/runtime/fiber_stream.h
@@ -82,6 +82,11 @@
 
   template <typename Start>
   size_t Await(Start start, ErrorCode& failure) {
+    // Input that never ends would otherwise keep a reader beyond its deadline.
+    if (Clock::now() >= m_deadline) {
+      failure = boost::asio::error::timed_out;
+      return 0;
+    }
     Operation operation;
     start([&operation](const ErrorCode& error, size_t bytes = 0) {
       operation.m_failure = error;
--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -93,6 +93,10 @@
   return response;
 }
 
+// Limit on the input that is held before it is parsed. Holds the largest head;
+// a chunk's extensions have no limit of their own.
+constexpr size_t kReadBufferLimit = 128 * 1024;  // bytes
+
 }  // namespace
 
 struct HttpClient::Connection {
@@ -103,7 +107,7 @@
   bool IsUsable() { return m_buffer.size() == 0 && m_stream.IsOpenAndIdle(); }
 
   FiberStream m_stream;
-  beast::flat_buffer m_buffer;
+  beast::flat_buffer m_buffer{kReadBufferLimit};
 
   /// An idle connection is not used again after this time.
   TimePoint m_usable_until;
--- a/tests/gateway/member_contact_test.cc
+++ b/tests/gateway/member_contact_test.cc
@@ -9,7 +9,7 @@
 using std::chrono::seconds;
 
 constexpr milliseconds kSilence{1300};
-const TimePoint kStart{seconds(100)};
+constexpr TimePoint kStart{seconds(100)};
 
 Now After(Duration elapsed) {
   return {kStart + elapsed, WallTime(), BootTime(seconds(500) + elapsed)};
--- a/tests/gateway/rate_limit_test.cc
+++ b/tests/gateway/rate_limit_test.cc
@@ -39,7 +39,7 @@
 }
 
 const std::vector<RateTrouble>& Troubles() {
-  static const std::vector<RateTrouble> kTroubles = {
+  static const std::vector<RateTrouble> troubles = {
       {"None", [](GatewayWorld&) {}},
       {"LeaderSlightlySlow",
        [](GatewayWorld& world) { DelayLeader(world, milliseconds(40)); }},
@@ -90,7 +90,7 @@
          }
        }},
   };
-  return kTroubles;
+  return troubles;
 }
 
 void SetClientRates(GatewayWorld& world, double share) {
--- a/tests/traffic/token_issuer_test.cc
+++ b/tests/traffic/token_issuer_test.cc
@@ -12,7 +12,7 @@
 
 constexpr double kRate = 100;
 constexpr double kBurst = 100;
-const DispatcherIdentity kHostA{"a", "1"};
+const DispatcherIdentity host_a{"a", "1"};
 
 // An issuer with two hosts that hold a quarter of the burst each.
 class TokenIssuerTest : public testing::Test {
@@ -21,7 +21,7 @@
 
   TokenGrant Serve(const TokenDemand& demand,
                    Duration elapsed,
-                   const DispatcherIdentity& host = kHostA) {
+                   const DispatcherIdentity& host = host_a) {
     TokenLimit limit{"club", kRate, kBurst, elapsed, m_holders, m_shares_burst};
     ShareChargeTerms terms;
     terms.m_reported_at = m_start + elapsed;
