--- a/src/gateway/equal_share_limiter.cc
+++ b/src/gateway/equal_share_limiter.cc
@@ -136,9 +136,9 @@
     auto demand =
         std::ranges::find(demands, workspace, &TokenDemand::m_workspace);
     Refill(bucket, now);
-    const bool is_known = bucket.m_used == bucket.m_charged &&
+    const bool is_up_to_date = bucket.m_used == bucket.m_charged &&
                           bucket.m_tokens >= bucket.m_share.m_burst;
-    if (demand == demands.end() && !is_known) {
+    if (demand == demands.end() && !is_up_to_date) {
       demand = demands.insert(demand, TokenDemand{.m_workspace = workspace});
     }
     if (demand != demands.end()) {
--- a/src/gateway/equal_share_limiter.h
+++ b/src/gateway/equal_share_limiter.h
@@ -63,8 +63,8 @@
   /// Puts back the token of a request that did not run.
   void ReturnToken(const std::string& workspace);
 
-  /// Restarts the shares without a burst: a share below one token accrues only
-  /// while the leader does not answer.
+  /// Empties the shares whose burst is below one token: they accrue only while
+  /// the leader does not answer.
   void OnLeaderAnswer(TimePoint report_sent_at);
 
   /// Adds the use and the stock of the shares to the demands, with a demand for
