--- a/src/gateway/equal_share_limiter.cc
+++ b/src/gateway/equal_share_limiter.cc
@@ -137,7 +137,7 @@
         std::ranges::find(demands, workspace, &TokenDemand::m_workspace);
     Refill(bucket, now);
     const bool is_up_to_date = bucket.m_used == bucket.m_charged &&
-                          bucket.m_tokens >= bucket.m_share.m_burst;
+                               bucket.m_tokens >= bucket.m_share.m_burst;
     if (demand == demands.end() && !is_up_to_date) {
       demand = demands.insert(demand, TokenDemand{.m_workspace = workspace});
     }
