Issue the only token of a workspace with a small burst

Found while tracing GatewayTest: what a share without a burst may have accrued since the last report, a fraction of a token, was withheld from a stock of one token, so a workspace with a burst of 1 never got a token from the leader.

Change: a share without a burst counts in whole tokens, as no request can have used less.

Evidence: SmallBurstTest failed before (0 tokens) and passes; RateLimitTest and the unit tests pass.

--- a/src/traffic/token_issuer.cc
+++ b/src/traffic/token_issuer.cc
@@ -53,14 +53,26 @@
   row.m_accrued_for = limit.m_accrued_for;
 }
 
-// Returns the most that the hosts can have used of their shares since their
+// Returns the most that a host can have used of its share since its last
+// report. A share without a burst holds only what accrues in this time, and a
+// request needs a whole token.
+double CountUnreportedUseOf(const ShareHolder& holder,
+                            const TokenLimit& limit) {
+  const double accrued =
+      limit.m_rate * holder.m_part * ToSeconds(holder.m_unreported_for);
+  return limit.m_shares_burst > 0
+             ? limit.m_shares_burst * holder.m_part + accrued
+             : std::floor(accrued);
+}
+
+// Returns the most that all hosts can have used of their shares since their
 // last reports.
 double CountUnreportedUse(const TokenLimit& limit) {
-  double seconds = 0;
+  double sum = 0;
   for (const ShareHolder& holder : limit.m_holders) {
-    seconds += holder.m_part * ToSeconds(holder.m_unreported_for);
+    sum += CountUnreportedUseOf(holder, limit);
   }
-  return limit.m_shares_burst + limit.m_rate * seconds;
+  return sum;
 }
 
 // Like `CountUnreportedUse`, but counts for each host whose report named the
@@ -70,13 +82,12 @@
                                 TimePoint now) {
   double sum = 0;
   for (const ShareHolder& holder : limit.m_holders) {
-    const double rate = limit.m_rate * holder.m_part;
-    double most = limit.m_shares_burst * holder.m_part +
-                  rate * ToSeconds(holder.m_unreported_for);
+    double most = CountUnreportedUseOf(holder, limit);
     const auto use = row.m_share_uses.find(holder.m_address);
     if (use != row.m_share_uses.end()) {
-      const Duration elapsed = now - use->second.m_reported_at;
-      most = std::min(most, use->second.m_stock + rate * ToSeconds(elapsed));
+      const double accrued = limit.m_rate * holder.m_part *
+                             ToSeconds(now - use->second.m_reported_at);
+      most = std::min(most, use->second.m_stock + accrued);
     }
     sum += most;
   }
--- a/tests/traffic/token_issuer_test.cc
+++ b/tests/traffic/token_issuer_test.cc
@@ -106,5 +106,20 @@
   EXPECT_TRUE(Serve(demand, seconds(10)).m_denied);
 }
 
+// What a share without a burst accrued between two reports, a fraction of a
+// token, kept the only token of such a workspace from ever being issued.
+TEST(SmallBurstTest, SingleTokenIsIssued) {
+  const TimePoint start(seconds(100));
+  TokenIssuer issuer(milliseconds(1100));
+  issuer.Begin(start);
+  const std::array<ShareHolder, 1> holders = {
+      ShareHolder{"a", 1, milliseconds(420)}};
+  const TokenLimit limit{"club", 1, 1, seconds(10), holders, 0};
+  TokenDemand demand;
+  demand.m_requested = demand.m_waiting = 1;
+  EXPECT_EQ(
+      issuer.Serve(limit, host_a, demand, {}, start + seconds(10)).m_tokens, 1);
+}
+
 }  // namespace
 }  // namespace foxtail
