Withhold whole tokens only, where shares are below one

Cause: the leader withheld the fractions of a token that each share may have accrued since its host's last report. With many hosts they add up to the whole stock of a small rate, though no host can use a fraction.

Change: where shares are dealt out in whole tokens, what accrued counts in whole tokens too.

Evidence: FractionsOfManySharesAreNotWithheld failed before (0 tokens) and passes; RateLimitTest and the unit tests pass.

--- a/src/traffic/token_issuer.cc
+++ b/src/traffic/token_issuer.cc
@@ -54,15 +54,15 @@
 }
 
 // Returns the most that a host can have used of its share since its last
-// report. A share without a burst holds only what accrues in this time, and a
-// request needs a whole token.
+// report, on average over the hosts. Shares below one token are dealt out in
+// whole tokens or hold only what accrues in this time, and a request needs a
+// whole token.
 double CountUnreportedUseOf(const ShareHolder& holder,
                             const TokenLimit& limit) {
   const double accrued =
       limit.m_rate * holder.m_part * ToSeconds(holder.m_unreported_for);
-  return limit.m_shares_burst > 0
-             ? limit.m_shares_burst * holder.m_part + accrued
-             : std::floor(accrued);
+  const double burst = limit.m_shares_burst * holder.m_part;
+  return burst + (burst < 1 ? std::floor(accrued) : accrued);
 }
 
 // Returns the most that all hosts can have used of their shares since their
--- a/tests/traffic/token_issuer_test.cc
+++ b/tests/traffic/token_issuer_test.cc
@@ -121,5 +121,28 @@
       issuer.Serve(limit, host_a, demand, {}, start + seconds(10)).m_tokens, 1);
 }
 
+// The fractions that the shares of many hosts accrue between two reports added
+// up to the whole stock of a small rate, so the leader issued nothing.
+TEST(SmallBurstTest, FractionsOfManySharesAreNotWithheld) {
+  constexpr size_t kHosts = 80;
+  const TimePoint start(seconds(100));
+  TokenIssuer issuer(milliseconds(1100));
+  issuer.Begin(start);
+  std::vector<std::string> addresses;
+  std::vector<ShareHolder> holders;
+  for (size_t i = 0; i < kHosts; ++i) {
+    addresses.push_back(std::to_string(i));
+  }
+  for (const std::string& address : addresses) {
+    holders.push_back({address, 1.0 / kHosts, seconds(1)});
+  }
+  const TokenLimit limit{"club", 10, 10, seconds(10), holders, 2};
+  TokenDemand demand;
+  demand.m_requested = demand.m_waiting = 20;
+  const DispatcherIdentity host{"other", "1"};
+  EXPECT_EQ(issuer.Serve(limit, host, demand, {}, start + seconds(10)).m_tokens,
+            8);
+}
+
 }  // namespace
 }  // namespace foxtail
