--- a/src/gateway/directory_system.cc
+++ b/src/gateway/directory_system.cc
@@ -244,7 +244,6 @@
       }
     });
   }
-  tables.m_servers_loaded = true;
   tables.m_snapshot_due = true;
 }
 
--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -327,10 +327,8 @@
   /// Stored owners record of each service, for routing.
   std::map<std::string, OwnersRecord> m_owners;
 
-  /// Whether the server table has been read, and since when reads of the store
-  /// have succeeded without a gap: this process's reads, or the leader's while
-  /// the leader relays.
-  bool m_servers_loaded = false;
+  /// Since when reads of the store have succeeded without a gap: this process's
+  /// reads, or the leader's while the leader relays.
   TimePoint m_store_reachable_since;
 
   /// This process's own member row in the store.
