The issuer alone keeps when it began

Cause: TokenSystem and GatewayTables each kept the moment at which they had called TokenIssuer::Begin, which the issuer keeps too.

Change: TokenIssuer::GetBeganAt; the two copies go. Behaviour stays.

--- a/src/control/token_system.cc
+++ b/src/control/token_system.cc
@@ -14,7 +14,6 @@
     m_issuer.emplace(
         AddClockDrift(tables.m_settings, tables.m_settings.m_token_ttl));
     m_issuer->Begin(now);
-    m_issuing_since = now;
   }
   for (const ReceivedTokenRequest& received :
        context.m_inbox.m_token_requests) {
@@ -35,7 +34,7 @@
             m_issuer->Serve({config.m_name,
                              config.m_rate,
                              config.m_burst,
-                             now - m_issuing_since,
+                             now - m_issuer->GetBeganAt(),
                              {}},
                             received.m_request.m_dispatcher, demand, {}, now));
       }
--- a/src/control/token_system.h
+++ b/src/control/token_system.h
@@ -17,7 +17,6 @@
  private:
   uint64_t m_epoch = 0;
   std::optional<TokenIssuer> m_issuer;
-  TimePoint m_issuing_since;
 };
 
 }  // namespace foxtail
--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -303,10 +303,9 @@
   std::optional<TokenIssuer> m_tokens;
   TimePoint m_next_tokens_summary_at;
 
-  /// Since when this process has led, and for how long the rates have accrued
-  /// since then. Time counts in proportion to the members that report: the
-  /// others use their shares on their own.
-  TimePoint m_leading_since;
+  /// For how long the rates have accrued since the issuer began. Time counts in
+  /// proportion to the members that report: the others use their shares on
+  /// their own.
   Duration m_rates_accrued_for{};
   TimePoint m_rates_advanced_at;
   std::array<WatchProgress, kWatchedKinds> m_progress;
--- a/src/gateway/leadership_system.cc
+++ b/src/gateway/leadership_system.cc
@@ -60,7 +60,6 @@
   lease.m_outage_ttl_active = false;
   tables.m_tokens.emplace(tables.m_settings.m_outstanding_token_ttl);
   tables.m_tokens->Begin(now.m_steady);
-  tables.m_leading_since = now.m_steady;
   tables.m_rates_advanced_at = now.m_steady;
   tables.m_rates_accrued_for = Duration(0);
   lease.m_last_fence = lease.m_record.m_epoch << kFenceBits;
--- a/src/gateway/member_system.cc
+++ b/src/gateway/member_system.cc
@@ -142,7 +142,7 @@
   before.m_share_of_rate =
       member.m_contact.ShareOfRate(tables.m_members.size());
   before.m_silent_seconds = ToSeconds(
-      member.m_contact.SilentTime(tables.m_leading_since, now.m_steady,
+      member.m_contact.SilentTime(tables.m_tokens->GetBeganAt(), now.m_steady,
                                   settings.m_contact_silence_timeout));
   member.m_contact.OnReport(BootTime(BootTime::duration(report.m_sent_at)),
                             report.m_members, now);
--- a/src/traffic/token_issuer.h
+++ b/src/traffic/token_issuer.h
@@ -125,6 +125,8 @@
   /// predecessor granted.
   void Begin(TimePoint now);
 
+  TimePoint GetBeganAt() const { return m_began_at; }
+
   /// Applies a dispatcher's demand and returns the tokens granted.
   TokenGrant Serve(const TokenLimit& limit,
                    const DispatcherIdentity& dispatcher,
