An admission's outcome tells the decision

Change: one table holds an outcome's name and decision; Finish takes the outcome only. Behaviour stays.

--- a/src/gateway/rate_admission.cc
+++ b/src/gateway/rate_admission.cc
@@ -16,8 +16,8 @@
 // of hosts. Without it, a few hosts would hold all tokens of a small rate.
 constexpr double kMaxStockParts = 2;
 
-// For this long after the leader issued fewer tokens than requested, requests
-// are refused without a new demand: a workspace far above its rate must not
+// For this long after a denial of the leader arrived, requests are refused
+// without a new demand: a workspace far above its rate must not
 // cost a wait and a message for each request.
 constexpr milliseconds kDenialTtl{250};
 
@@ -30,14 +30,23 @@
 // moment only.
 constexpr milliseconds kLongTokenTimeout{200};
 
-constexpr std::array kOutcomeNames = {"leader_token", "equal_share",
-                                      "refused_by_leader",
-                                      "refused_without_leader"};
+/// Name of an outcome in logs and metrics, and the decision that it means.
+struct OutcomeRow {
+  std::string_view m_name;
+  RateDecision m_decision;
+};
+
+// In the order of `AdmissionOutcome`.
+constexpr std::array kOutcomes = {
+    OutcomeRow{"leader_token", RateDecision::kLeaderToken},
+    OutcomeRow{"equal_share", RateDecision::kEqualShare},
+    OutcomeRow{"refused_by_leader", RateDecision::kRefused},
+    OutcomeRow{"refused_without_leader", RateDecision::kRefused}};
 
 }  // namespace
 
 std::string_view NameOf(AdmissionOutcome outcome) {
-  return kOutcomeNames.at(static_cast<size_t>(outcome));
+  return kOutcomes.at(static_cast<size_t>(outcome)).m_name;
 }
 
 RateAdmission::RateAdmission(const OwnershipSettings& settings)
@@ -49,11 +58,12 @@
          (now < arrived_at + kTokenTimeout ? kTokenTimeout : kLongTokenTimeout);
 }
 
-RateDecision RateAdmission::Count(const std::string& workspace,
-                                  AdmissionOutcome outcome,
-                                  RateDecision decision) {
-  ++m_counts[workspace][static_cast<size_t>(outcome)];
-  return decision;
+// Counts the outcome and returns the decision that it means.
+RateDecision RateAdmission::Finish(const std::string& workspace,
+                                   AdmissionOutcome outcome) {
+  const auto index = static_cast<size_t>(outcome);
+  ++m_counts[workspace].at(index);
+  return kOutcomes.at(index).m_decision;
 }
 
 RateDecision RateAdmission::Begin(const RoutedWorkspace& workspace,
@@ -65,15 +75,13 @@
   }
   if (m_equal_share.TryAcquire(workspace, position, ShareUse::kKeepReserve,
                                now)) {
-    return Count(name, AdmissionOutcome::kEqualShare,
-                 RateDecision::kEqualShare);
+    return Finish(name, AdmissionOutcome::kEqualShare);
   }
   m_budget.OnArrival(name, now);
   m_budget.SetStockLimit(name, kMaxStockParts * workspace.m_burst /
                                    std::max<double>(1, position.m_members));
   if (m_budget.TryAcquire(name, now)) {
-    return Count(name, AdmissionOutcome::kLeaderToken,
-                 RateDecision::kLeaderToken);
+    return Finish(name, AdmissionOutcome::kLeaderToken);
   }
   if (m_budget.HasReceivedDenial(name, now - kDenialTtl)) {
     return DecideByReserve(workspace, position,
@@ -94,12 +102,10 @@
                                             const MemberPosition& position,
                                             AdmissionOutcome refusal,
                                             TimePoint now) {
-  const std::string& name = workspace.m_name;
-  return m_equal_share.TryAcquire(workspace, position, ShareUse::kUseReserve,
-                                  now)
-             ? Count(name, AdmissionOutcome::kEqualShare,
-                     RateDecision::kEqualShare)
-             : Count(name, refusal, RateDecision::kRefused);
+  const bool admitted =
+      m_equal_share.TryAcquire(workspace, position, ShareUse::kUseReserve, now);
+  return Finish(workspace.m_name,
+                admitted ? AdmissionOutcome::kEqualShare : refusal);
 }
 
 // Returns whether a request that waits now can have a token of the share, after
@@ -129,8 +135,7 @@
   const std::string& name = workspace.m_name;
   RateDecision decision = RateDecision::kWait;
   if (m_budget.TryAcquire(name, now)) {
-    decision =
-        Count(name, AdmissionOutcome::kLeaderToken, RateDecision::kLeaderToken);
+    decision = Finish(name, AdmissionOutcome::kLeaderToken);
   } else if (m_budget.WasDenied(name, arrived_at)) {
     decision = DecideByReserve(workspace, position,
                                AdmissionOutcome::kRefusedByLeader, now);
--- a/src/gateway/rate_admission.h
+++ b/src/gateway/rate_admission.h
@@ -91,9 +91,7 @@
   bool IsTimedOut(const std::string& workspace,
                   TimePoint arrived_at,
                   TimePoint now) const;
-  RateDecision Count(const std::string& workspace,
-                     AdmissionOutcome outcome,
-                     RateDecision decision);
+  RateDecision Finish(const std::string& workspace, AdmissionOutcome outcome);
 
   const OwnershipSettings& m_settings;
   TokenBudget m_budget;
