One limit on the workspaces of a log summary; a comment that was no longer true

Cause: the limit stood in two sources. MemberReport said that only the sender can interpret its sending time, but the leader now compares such times of one process.

Change: one constant beside the gateway's settings; the comment says what a receiver may do. Behaviour stays.

--- a/src/gateway/cluster_records.h
+++ b/src/gateway/cluster_records.h
@@ -122,8 +122,8 @@
   std::string m_incarnation;
   uint64_t m_sequence = 0;
 
-  /// When the report was sent, by the sender's boot clock in nanoseconds. Only
-  /// the sender can interpret it.
+  /// When the report was sent, by the sender's boot clock in nanoseconds. The
+  /// receiver can compare it with other reports of the same process only.
   int64_t m_sent_at = 0;
 
   /// Number of hosts among which the sender divides the workspaces' rates.
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -125,6 +125,9 @@
   Duration m_store_retry_delay = std::chrono::milliseconds(250);
 };
 
+/// Limit on the workspaces that one summary in the log names.
+inline constexpr size_t kMaxLoggedWorkspaces = 20;
+
 /// Settings of `foxtail-gateway`.
 struct GatewaySettings {
   std::string m_listen = "127.0.0.1:18300";
--- a/src/gateway/member_system.cc
+++ b/src/gateway/member_system.cc
@@ -12,10 +12,8 @@
 
 using std::chrono::milliseconds;
 
-// Interval between summaries of the issued tokens in the log, and limit on the
-// workspaces in one.
+// Interval between summaries of the issued tokens in the log.
 constexpr std::chrono::seconds kTokensSummaryPeriod{5};
-constexpr size_t kMaxLoggedWorkspaces = 20;
 
 // Added to the age of a member's last report: the shortest time that a datagram
 // takes is not known, nor is the time until issued tokens are used.
--- a/src/gateway/request_log.cc
+++ b/src/gateway/request_log.cc
@@ -10,9 +10,6 @@
 constexpr uint32_t kMaxEventsPerWindow = 10;
 constexpr std::chrono::seconds kWindow{1};
 
-// Limit on the workspaces that one summary of admissions names.
-constexpr size_t kMaxLoggedWorkspaces = 20;
-
 std::vector<EventField> BuildFields(const RequestLogEntry& entry) {
   return {{"request", entry.m_request_id}, {"workspace", entry.m_workspace},
           {"service", entry.m_service},    {"server", entry.m_server},
