--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -159,14 +159,22 @@
   EXPECT_NEAR(retries, 15, 1);
 }
 
+// Delivers tokens of one second's TTL that were requested at `sent_at`.
+void Grant(TokenBudget& budget,
+           double tokens,
+           TimePoint sent_at,
+           TimePoint now) {
+  TokenResponse response;
+  response.m_token_ttl = milliseconds(1000);
+  response.m_grants = {{"club", tokens}};
+  budget.OnGrants(response, sent_at, now);
+}
+
 TEST(TokenBudgetTest, TokensAreUsedOnceAndExpire) {
   TokenBudget budget(std::make_unique<DemandShare>(milliseconds(100)));
   const TimePoint start{milliseconds(10'000)};
   EXPECT_FALSE(budget.TryAcquire("club", start));
-  TokenResponse response;
-  response.m_token_ttl = milliseconds(1000);
-  response.m_grants = {{"club", 2}};
-  budget.OnGrants(response, start, start);
+  Grant(budget, 2, start, start);
   EXPECT_TRUE(budget.TryAcquire("club", start));
   EXPECT_FALSE(budget.TryAcquire("club", start + milliseconds(1000)));
 }
@@ -174,10 +182,7 @@
 TEST(TokenBudgetTest, ReportsSpentTokensOnceAndReturnsSurplus) {
   TokenBudget budget(std::make_unique<DemandShare>(milliseconds(100)));
   const TimePoint start{milliseconds(10'000)};
-  TokenResponse response;
-  response.m_token_ttl = milliseconds(1000);
-  response.m_grants = {{"club", 5}};
-  budget.OnGrants(response, start, start);
+  Grant(budget, 5, start, start);
   ASSERT_TRUE(budget.TryAcquire("club", start));
   auto demands = budget.BuildDemands(start);
   ASSERT_EQ(demands.size(), 1U);
@@ -192,10 +197,7 @@
 TEST(TokenBudgetTest, ReturnedTokenIsRefundedAndNotUsedAgain) {
   TokenBudget budget(std::make_unique<DemandShare>(milliseconds(100)));
   const TimePoint start{milliseconds(10'000)};
-  TokenResponse response;
-  response.m_token_ttl = milliseconds(1000);
-  response.m_grants = {{"club", 1}};
-  budget.OnGrants(response, start, start);
+  Grant(budget, 1, start, start);
   ASSERT_TRUE(budget.TryAcquire("club", start));
   budget.ReturnToken("club");
   EXPECT_FALSE(budget.TryAcquire("club", start));
@@ -212,10 +214,7 @@
   budget.AddWaiting("club");
   EXPECT_EQ(budget.BuildDemands(start).at(0).m_waiting, 1);
   budget.RemoveWaiting("club");
-  TokenResponse response;
-  response.m_token_ttl = milliseconds(1000);
-  response.m_grants = {{"club", 1}};
-  budget.OnGrants(response, start, start + milliseconds(200));
+  Grant(budget, 1, start, start + milliseconds(200));
   EXPECT_TRUE(budget.TryAcquire("club", start + milliseconds(300)));
   EXPECT_EQ(budget.BuildDemands(start + milliseconds(400)).at(0).m_spent, 1);
 }
