Limit what the server holds of a request before it is parsed

Cause: the parser has no limit for extensions, and the read buffer had none.

Change: the buffer holds a head and 128 KB; the client's constant serves both. A request beyond it is answered as too large, as the server already answers a full buffer.

--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -93,10 +93,6 @@
   return response;
 }
 
-// Limit on the input that is held before it is parsed. Holds the largest head;
-// a chunk's extensions have no limit of their own.
-constexpr size_t kReadBufferLimit = 128 * 1024;  // bytes
-
 }  // namespace
 
 struct HttpClient::Connection {
--- a/src/runtime/http_message.h
+++ b/src/runtime/http_message.h
@@ -10,6 +10,10 @@
 
 namespace foxtail {
 
+/// Limit on the input of a connection that is held before it is parsed, bytes,
+/// beside a head with a limit of its own. The extensions of a chunk have none.
+inline constexpr size_t kReadBufferLimit = 128 * 1024;
+
 /// One header field. Names are case-insensitive.
 struct HttpHeader {
   std::string m_name;
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -230,6 +230,7 @@
   Parser parser;
   parser.header_limit(static_cast<uint32_t>(m_settings.m_header_limit));
   parser.body_limit(m_settings.m_body_limit);
+  connection.m_buffer.max_size(m_settings.m_header_limit + kReadBufferLimit);
   // The idle timeout limits the wait for the first bytes, the read timeout the
   // rest of the request.
   if (!connection.AwaitRequest(Clock::now() + m_settings.m_idle_timeout)) {
--- a/tests/runtime/endless_response_test.cc
+++ b/tests/runtime/endless_input_test.cc
@@ -7,6 +7,7 @@
 #include "runtime/fiber_stream.h"
 #include "runtime/fiber_wait.h"
 #include "runtime/http_client.h"
+#include "runtime/http_server.h"
 
 namespace foxtail {
 namespace {
@@ -119,5 +120,36 @@
   EXPECT_EQ(failure, boost::asio::error::timed_out);
 }
 
+// An extension of a chunk has no limit in the parser. The server held all of it
+// until the client stopped.
+TEST(EndlessRequestTest, ServerEndsARequestAtItsLimit) {
+  HttpServerSettings settings;
+  settings.m_body_limit = kBodyLimit;
+  size_t handled = 0;
+  HttpServer server({"127.0.0.1", 0}, settings, [&handled](HttpRequest&) {
+    ++handled;
+    return HttpResponse();
+  });
+  server.Start();
+  FiberStream client{tcp::socket(ThreadIoContext())};
+  client.GetSocket().connect(
+      {boost::asio::ip::address_v4::loopback(), server.GetPort()});
+  client.EnableImmediateWrites();
+  client.SetDeadline(Clock::now() + seconds(5));
+  error_code failure;
+  size_t sent = SendAll(client,
+                        "POST / HTTP/1.1\r\nHost: a\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n4;",
+                        failure);
+  const std::string block(kBlockSize, 'x');
+  while (!failure && sent <= kMostSent) {
+    sent += SendAll(client, block, failure);
+  }
+  EXPECT_LE(sent, kMostSent);
+  EXPECT_NE(failure, boost::asio::error::timed_out);
+  EXPECT_EQ(handled, 0U);
+  server.Stop(seconds(1));
+}
+
 }  // namespace
 }  // namespace foxtail
