A standby reads the lease row when it is asked for a promise

Cause, from the logs of a run by hand that failed the same way: the holder of the control lease lost it 700 ms after its last renewal, since one of its two standbys did not promise. That standby reads the lease row every 450 ms, and a read counts as overdue after 100 ms, so it may notice 550 ms after its last good read that the platform does not respond; the holder asks every 100 ms. Where the last good read came just before the platform fell silent, no request came between the two times.

Change: a standby that is asked for a promise and cannot give one reads the row at once, so that it can answer the next request.

--- a/src/control/lease_system.cc
+++ b/src/control/lease_system.cc
@@ -96,7 +96,9 @@
   }
 
   // A standby gives a promise only while it cannot read the platform itself and
-  // has no takeover in flight, which might still take effect.
+  // has no takeover in flight, which might still take effect. A standby that
+  // may not have noticed an outage yet reads the row at once, so that it can
+  // answer the holder's next request.
   void OnPromiseRequested(const ReceivedPromiseRequest& received) {
     const bool read_overdue = m_lease.m_store_call_in_flight &&
                               m_now - m_lease.m_read_sent_at > kReadTimeout;
@@ -113,6 +115,9 @@
           EventNumber::kPromiseGiven,
           {{"cell", m_cell.m_name}, {"holder", received.m_holder.m_address}});
     }
+    if (m_lease.m_phase == LeasePhase::kWatching && !given) {
+      m_lease.m_next_store_call_at = m_now;
+    }
     m_context.m_outbox.m_promise_responses.push_back(
         {received.m_handle, given});
   }
--- a/tests/control/control_test.cc
+++ b/tests/control/control_test.cc
@@ -63,6 +63,26 @@
   EXPECT_EQ(world.HolderOf("catalogue"), holder);
 }
 
+// The last standby reads the row rarely, so it may not know yet that the store
+// does not respond when it is asked for a promise.
+TEST(LeaseTest, HolderKeepsLeaseWheneverTheStoreFallsSilent) {
+  FakeWorld world(3);
+  world.m_store_timeout = milliseconds(250);
+  world.Configure(OneServiceConfiguration());
+  ASSERT_TRUE(world.RunUntilHolder("catalogue"));
+  const size_t holder = world.HolderOf("catalogue");
+  for (int outage = 0; outage < 500; ++outage) {
+    world.m_store.m_down = false;
+    world.RunFor(milliseconds(1000 + outage * 10));
+    world.m_store.m_down = true;
+    for (int i = 0; i < 100; ++i) {
+      world.RunFor(milliseconds(10));
+      ASSERT_EQ(world.HolderOf("catalogue"), holder)
+          << "outage " << outage << ", after " << (i + 1) * 10 << " ms";
+    }
+  }
+}
+
 TEST(LeaseTest, HolderStepsDownWithoutPromiseOfAStandby) {
   FakeWorld world(3);
   world.Configure(OneServiceConfiguration());
--- a/tests/support/fake_world.cc
+++ b/tests/support/fake_world.cc
@@ -140,6 +140,7 @@
 void FakeWorld::Step() {
   m_now.m_steady += kStepDuration;
   m_now.m_wall += kStepDuration;
+  DeliverTimedOutCalls();
   for (FakeNode& node : m_nodes) {
     if (!node.m_paused) {
       RunNode(node);
@@ -164,15 +165,14 @@
 
 void FakeWorld::ExecuteCommands(FakeNode& node, ControlOutbox& outbox) {
   for (const ReadRecordCommand& read : outbox.m_reads) {
-    node.m_inbox.m_row_responses.push_back({read.m_purpose, read.m_cell, false,
-                                            m_store.Read(read.m_key),
-                                            m_now.m_steady});
+    DeliverRowResponse(node, {read.m_purpose, read.m_cell, false,
+                              m_store.Read(read.m_key), m_now.m_steady});
   }
   for (const WriteRecordCommand& write : outbox.m_writes) {
-    node.m_inbox.m_row_responses.push_back(
-        {write.m_purpose, write.m_cell, true,
-         m_store.Write(write.m_key, write.m_if_version, write.m_value),
-         m_now.m_steady});
+    DeliverRowResponse(
+        node, {write.m_purpose, write.m_cell, true,
+               m_store.Write(write.m_key, write.m_if_version, write.m_value),
+               m_now.m_steady});
   }
   for (const RequestPromiseCommand& ask : outbox.m_promise_requests) {
     RequestPromise(node, ask);
@@ -196,6 +196,27 @@
   }
 }
 
+void FakeWorld::DeliverRowResponse(FakeNode& node, RowResponse response) {
+  if (m_store.m_down) {
+    m_timed_out_calls.push_back(
+        {m_now.m_steady + m_store_timeout, &node, std::move(response)});
+    DeliverTimedOutCalls();
+  } else {
+    node.m_inbox.m_row_responses.push_back(std::move(response));
+  }
+}
+
+void FakeWorld::DeliverTimedOutCalls() {
+  std::erase_if(m_timed_out_calls, [&](TimedOutCall& call) {
+    const bool due = m_now.m_steady >= call.m_due_at;
+    if (due) {
+      call.m_node->m_inbox.m_row_responses.push_back(
+          std::move(call.m_response));
+    }
+    return due;
+  });
+}
+
 void FakeWorld::RequestPromise(FakeNode& node,
                                const RequestPromiseCommand& ask) {
   for (FakeNode& other : m_nodes) {
--- a/tests/support/fake_world.h
+++ b/tests/support/fake_world.h
@@ -80,6 +80,9 @@
   FakeStore m_store;
   std::vector<FakeNode> m_nodes;
 
+  /// How long a call takes to fail while the store is down.
+  Duration m_store_timeout{};
+
   /// Maximum number of nodes that had authority over one cell at the same time.
   size_t m_max_holders = 0;
 
@@ -87,10 +90,20 @@
   void Step();
   void RunNode(FakeNode& node);
   void ExecuteCommands(FakeNode& node, ControlOutbox& outbox);
+  void DeliverRowResponse(FakeNode& node, RowResponse response);
+  void DeliverTimedOutCalls();
   void RequestPromise(FakeNode& node, const RequestPromiseCommand& ask);
   void UpdateMaxHolders();
 
+  /// A failed call of the store that times out at `m_due_at`.
+  struct TimedOutCall {
+    TimePoint m_due_at;
+    FakeNode* m_node = nullptr;
+    RowResponse m_response;
+  };
+
   struct Now m_now;
+  std::vector<TimedOutCall> m_timed_out_calls;
   uint64_t m_last_handle = 0;
   std::map<uint64_t, TokenResponse> m_token_responses;
   std::map<uint64_t, std::function<void(bool)>> m_pending_promises;
