A member's own outage of the store does not delay removals the leader relays

Its watch, begun before the leader relayed changes, outlasted the outage and answered at 22.81 s with the removal of the server. The host took that answer for the end of an outage just then, so the missing registration counted as one that may come back, for 2.2 s more. The leader had reached the store all the time.

Change: RelaySystem::OnStoreReachable decides whether a process's own contact counts; while the leader relays, only the leader's outages do.

RelayTest.OwnOutageDoesNotDelayARemovalWhileTheLeaderRelays failed with the old decision and passes.

--- a/src/gateway/control_thread.cc
+++ b/src/gateway/control_thread.cc
@@ -233,7 +233,7 @@
                                        bool succeeded,
                                        StoreOutcome outcome) {
   if (succeeded && table.m_failing) {
-    m_tables.m_store_reachable_since = Clock::now();
+    RelaySystem::OnStoreReachable(m_tables, ReadClocks());
     m_events.Write(EventNumber::kPlatformReachable, {{"table", table.m_name}});
   }
   if (!succeeded && !table.m_failing) {
--- a/src/gateway/relay_system.cc
+++ b/src/gateway/relay_system.cc
@@ -75,6 +75,14 @@
   return tables.IsLeading(now) || now.m_steady >= tables.m_relayed_until;
 }
 
+// While the leader relays, only its own outages matter, and its responses tell
+// of them.
+void RelaySystem::OnStoreReachable(GatewayTables& tables, const Now& now) {
+  if (MustWatch(tables, now)) {
+    tables.m_store_reachable_since = now.m_steady;
+  }
+}
+
 bool RelaySystem::IsProbeDue(const GatewayTables& tables,
                              WatchedKind kind,
                              const Now& now) {
--- a/src/gateway/relay_system.h
+++ b/src/gateway/relay_system.h
@@ -31,6 +31,9 @@
   /// Returns whether this process must watch the store itself.
   static bool MustWatch(const GatewayTables& tables, const Now& now);
 
+  /// Records that this process's own reads of the store succeed again.
+  static void OnStoreReachable(GatewayTables& tables, const Now& now);
+
   /// Returns whether a table must be read at once, without waiting for changes.
   static bool IsProbeDue(const GatewayTables& tables,
                          WatchedKind kind,
--- a/tests/gateway/relay_test.cc
+++ b/tests/gateway/relay_test.cc
@@ -95,6 +95,36 @@
   EXPECT_FALSE(FindServer(tables, kServer)->m_registered);
 }
 
+// A watch of a host that had lost the store outlasted the outage and ended with
+// the removal of a server, while the leader was relaying.
+TEST(RelayTest, OwnOutageDoesNotDelayARemovalWhileTheLeaderRelays) {
+  const FakeDirectoryDecoder decoder;
+  const DirectorySystem directory(decoder);
+  GatewayTables tables;
+  const Now now{TimePoint() + seconds(100), WallTime(), BootTime(seconds(100))};
+  directory.ApplyServerRows(
+      tables, {{kServer, "10.1.0.2:80 dc-1 0 1", 1, false}}, true, now);
+  ReportResponse response;
+  response.m_relaying = true;
+  response.m_store_reachable_for_ms = 60'000;
+  MemberSystem::OnReportResponse(tables, response, now);
+  RelaySystem::OnStoreReachable(tables, now);
+  directory.ApplyServerRows(tables, {{kServer, "", 2, true}}, false, now);
+  EXPECT_FALSE(FindServer(tables, kServer)->m_registered);
+}
+
+TEST(RelayTest, OwnOutageCountsWithoutALeaderThatRelays) {
+  const FakeDirectoryDecoder decoder;
+  const DirectorySystem directory(decoder);
+  GatewayTables tables;
+  const Now now{TimePoint() + seconds(100), WallTime(), BootTime(seconds(100))};
+  directory.ApplyServerRows(
+      tables, {{kServer, "10.1.0.2:80 dc-1 0 1", 1, false}}, true, now);
+  RelaySystem::OnStoreReachable(tables, now);
+  directory.ApplyServerRows(tables, {{kServer, "", 2, true}}, false, now);
+  EXPECT_TRUE(FindServer(tables, kServer)->m_registered);
+}
+
 TEST(RelayTest, RelayedRowsDoNotReplaceNewerOnes) {
   GatewayTables tables;
   WatchProgress& progress = tables.m_progress[kServerRows];
