Requests to a leaving server end by when the host heard of the change

It heard from the leader's next response that the rows had changed, read them 0.86 s after the store had changed, and went on sending for the 0.9 s of grace from then; the last request was on its way for 0.27 s.

Change: the grace counts from when the process heard that rows had changed (WatchProgress::m_behind_since), at most a second before it read them. The progress is recorded after the rows are applied, so that it still tells. The report of the leader comes within 0.4 s of a change, so a request is sent at most about 1.3 s after it.

RelayTest.ADrainReadLateEndsNoLater failed with the time of the read (both a draining and a removed server) and passes.

--- a/src/gateway/control_thread.cc
+++ b/src/gateway/control_thread.cc
@@ -192,12 +192,14 @@
 void ControlThread::ApplyRows(WatchedTable& table,
                               const RowsResult& result,
                               bool complete) {
-  m_tables.m_progress[table.m_kind].RecordAppliedRows(result, complete);
   if (complete || !result.m_rows.empty()) {
     (m_directory.*table.m_apply)(m_tables, result.m_rows, complete,
                                  ReadClocks());
     Wake();
   }
+  // Recorded last: while the rows are applied, the progress tells since when
+  // they have been waiting.
+  m_tables.m_progress[table.m_kind].RecordAppliedRows(result, complete);
   Flush();
 }
 
--- a/src/gateway/directory_system.cc
+++ b/src/gateway/directory_system.cc
@@ -16,10 +16,23 @@
 constexpr std::chrono::milliseconds kReregistrationTimeout{2200};
 constexpr std::chrono::milliseconds kOutageRecoveryPeriod{2500};
 
-void Deregister(GatewayTables& tables, ServerRow& server, const Now& now) {
+// Limit on how far in the past a change may count from: longer than the grace
+// period of a draining server, and short against `kRemovalDelay`.
+constexpr std::chrono::milliseconds kMaxBackdating{1000};
+
+// Returns since when this process has known that the servers' rows being
+// applied had changed. It may have heard so before it could read them.
+TimePoint ServerChangeTime(const GatewayTables& tables, const Now& now) {
+  const TimePoint behind = tables.m_progress[kServerRows].m_behind_since;
+  return behind == TimePoint()
+             ? now.m_steady
+             : std::max(behind, now.m_steady - kMaxBackdating);
+}
+
+void Deregister(GatewayTables& tables, ServerRow& server, TimePoint since) {
   server.m_missing = false;
   server.m_registered = false;
-  server.m_deregistered_since = now.m_steady;
+  server.m_deregistered_since = since;
   tables.m_events.push_back(
       {EventNumber::kServerUnlisted,
        {{"cell", server.m_entry.m_service}, {"server", server.m_entry.m_id}}});
@@ -35,7 +48,7 @@
     server.m_missing = true;
     server.m_missing_until = now.m_steady + kReregistrationTimeout;
   } else {
-    Deregister(tables, server, now);
+    Deregister(tables, server, ServerChangeTime(tables, now));
   }
 }
 
@@ -200,7 +213,7 @@
     LogUnreadableRow(tables, m_decoder.ServerTable(), row.m_key,
                      failure.GetDetail());
     if (server) {
-      Deregister(tables, *server, now);
+      Deregister(tables, *server, ServerChangeTime(tables, now));
     }
     return;
   }
@@ -217,7 +230,7 @@
     server->m_consecutive_failures = 0;
   }
   if (entry.m_draining && !server->m_entry.m_draining) {
-    server->m_draining_since = now.m_steady;
+    server->m_draining_since = ServerChangeTime(tables, now);
     tables.m_events.push_back(
         {EventNumber::kServerDraining,
          {{"cell", entry.m_service}, {"server", entry.m_id}}});
@@ -276,7 +289,7 @@
     if (server.m_missing && now.m_steady < server.m_missing_until) {
       tables.WakeAt(server.m_missing_until);
     } else if (server.m_missing) {
-      Deregister(tables, server, now);
+      Deregister(tables, server, now.m_steady);
       tables.m_snapshot_due = true;
     }
     if (server.m_registered) {
--- a/tests/gateway/relay_test.cc
+++ b/tests/gateway/relay_test.cc
@@ -125,6 +125,30 @@
   EXPECT_TRUE(FindServer(tables, kServer)->m_registered);
 }
 
+// A host that missed the relayed row hears of a change first and reads it
+// later. It stops sending by when it heard.
+TEST(RelayTest, ADrainReadLateEndsNoLater) {
+  const FakeDirectoryDecoder decoder;
+  const DirectorySystem directory(decoder);
+  for (const bool removed : {false, true}) {
+    GatewayTables tables;
+    Now now{TimePoint() + seconds(100), WallTime(), BootTime(seconds(100))};
+    directory.ApplyServerRows(
+        tables, {{kServer, "10.1.0.2:80 dc-1 0 1", 1, false}}, true, now);
+    tables.m_progress[kServerRows].RecordAppliedVersion(1);
+    ReportResponse response;
+    response.m_last_change_versions[kServerRows] = 2;
+    MemberSystem::OnReportResponse(tables, response, now);
+    const TimePoint heard_at = now.m_steady;
+    now.m_steady += milliseconds(500);
+    directory.ApplyServerRows(
+        tables, {{kServer, "10.1.0.2:80 dc-1 1 1", 2, removed}}, false, now);
+    const ServerRow* server = FindServer(tables, kServer);
+    EXPECT_EQ(removed ? server->m_deregistered_since : server->m_draining_since,
+              heard_at);
+  }
+}
+
 TEST(RelayTest, RelayedRowsDoNotReplaceNewerOnes) {
   GatewayTables tables;
   WatchProgress& progress = tables.m_progress[kServerRows];
--- a/tests/support/gateway_world.cc
+++ b/tests/support/gateway_world.cc
@@ -250,17 +250,14 @@
                              WatchedKind kind,
                              const RowsResult& result) {
   GatewayTables& tables = m_hosts[host].m_tables;
-  tables.m_progress[kind].RecordAppliedRows(result, false);
-  if (result.m_rows.empty()) {
-    return;
-  }
-  if (kind == kOperatorRows) {
-    m_directory.ApplyOperatorRows(tables, result.m_rows, false, ReadNow());
-  } else if (kind == kServerRows) {
-    m_directory.ApplyServerRows(tables, result.m_rows, false, ReadNow());
-  } else {
-    m_directory.ApplyClusterRows(tables, result.m_rows, false, ReadNow());
+  if (!result.m_rows.empty()) {
+    using ApplyFunction = decltype(&DirectorySystem::ApplyOperatorRows);
+    constexpr std::array<ApplyFunction, kWatchedKinds> kApply = {
+        &DirectorySystem::ApplyOperatorRows, &DirectorySystem::ApplyServerRows,
+        &DirectorySystem::ApplyClusterRows};
+    (m_directory.*kApply.at(kind))(tables, result.m_rows, false, ReadNow());
   }
+  tables.m_progress[kind].RecordAppliedRows(result, false);
 }
 
 // A result is dropped if the requesting process has ended.
