Soak: a check of a stop belongs to the process that was stopped

By the log gateway 0 was stopped, killed, started again and stopped a second time 5.6 s after the first; the check of the first stop, due after 6 s, found the second process shutting down 0.4 s into it and took it for its own.

The check now names the process by when it was started. A process stopped later has a check of its own with the full time, so the bound is as strict as before.

--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -316,8 +316,11 @@
   }
   row.m_shutting_down = true;
   row.m_process->Signal(SIGTERM);
-  const auto restart = [this, gateway] {
+  const auto restart = [this, gateway, started_at = row.m_started_at] {
     Gateway& stopped = m_gateways[gateway];
+    if (stopped.m_started_at != started_at) {
+      return;  // killed meanwhile and replaced
+    }
     if (stopped.m_shutting_down && stopped.m_process->IsRunning()) {
       m_process_failures.push_back(
           fmt::format("gateway {} did not end", gateway));
