Grants and releases name the server that they are for

Change: each call carries the id of the server that it is for, in the field that requests carry already, and another server that receives it rejects it. That answer counts as the end of the server, like a refused connection.

--- a/src/gateway/control_thread.cc
+++ b/src/gateway/control_thread.cc
@@ -338,16 +338,17 @@
 
 void ControlThread::Execute(const GrantCommand& command) {
   const ServerCallOutcome outcome = m_server_control->Grant(
-      command.m_address, command.m_keys, command.m_fence, command.m_grant_ttl,
-      command.m_handover, m_settings.m_ownership.m_server_call_timeout);
+      {command.m_server, command.m_address}, command.m_keys, command.m_fence,
+      command.m_grant_ttl, command.m_handover,
+      m_settings.m_ownership.m_server_call_timeout);
   RangeGrantSystem::OnGranted(m_tables, command, outcome, ReadClocks());
 }
 
 void ControlThread::Execute(const ReleaseCommand& command) {
   std::string handover;
-  const ServerCallOutcome outcome =
-      m_server_control->Release(command.m_address, command.m_keys,
-                                command.m_fence, command.m_timeout, handover);
+  const ServerCallOutcome outcome = m_server_control->Release(
+      {command.m_server, command.m_address}, command.m_keys, command.m_fence,
+      command.m_timeout, handover);
   RangeGrantSystem::OnReleased(m_tables, command, outcome, handover,
                                ReadClocks());
 }
--- a/src/gateway/range_grant_system.cc
+++ b/src/gateway/range_grant_system.cc
@@ -201,7 +201,8 @@
     return;
   }
   const bool failed = outcome == ServerCallOutcome::kUnknown ||
-                      outcome == ServerCallOutcome::kGone;
+                      outcome == ServerCallOutcome::kGone ||
+                      outcome == ServerCallOutcome::kReplaced;
   if (!failed) {
     server->m_consecutive_failures = 0;
     return;
--- a/src/gateway/server_control.cc
+++ b/src/gateway/server_control.cc
@@ -16,6 +16,8 @@
       return "rejected";
     case ServerCallOutcome::kGone:
       return "gone";
+    case ServerCallOutcome::kReplaced:
+      return "replaced";
     case ServerCallOutcome::kUnknown:
       return "unknown";
   }
--- a/src/gateway/server_control.h
+++ b/src/gateway/server_control.h
@@ -30,6 +30,8 @@
   kRejected,
   /// The connection was refused: no process listens at the server's port.
   kGone,
+  /// Another server has the address: the one that the call is for has ended.
+  kReplaced,
   /// No response: the call may still be executed later.
   kUnknown,
 };
@@ -37,6 +39,13 @@
 /// Returns the outcome's name for logs.
 const char* NameOf(ServerCallOutcome outcome);
 
+/// The server that a call is for. Another server may have its address by the
+/// time the call arrives.
+struct ServerTarget {
+  std::string m_id;
+  std::string m_address;
+};
+
 /// Calls to backend servers that own keys.
 class ServerControl {
  public:
@@ -45,7 +54,7 @@
   /// Grants a range for `ttl`, counted from the arrival of the call. `handover`
   /// is the data that the previous owner returned when it released the range,
   /// or empty.
-  virtual ServerCallOutcome Grant(const std::string& address,
+  virtual ServerCallOutcome Grant(const ServerTarget& server,
                                   const KeyRange& range,
                                   uint64_t fence,
                                   Duration ttl,
@@ -54,7 +63,7 @@
 
   /// Ends a grant. Returns once no request for the range is running. `handover`
   /// receives the data that lets the next owner start warm.
-  virtual ServerCallOutcome Release(const std::string& address,
+  virtual ServerCallOutcome Release(const ServerTarget& server,
                                     const KeyRange& range,
                                     uint64_t fence,
                                     Duration timeout,
