Test that the workspaces' rates hold under overlapping troubles

RateLimitTest begins one trouble at a time. The chaos test lets slow, isolated, killed and restarted hosts, hosts without the store, outages of the store and lost datagrams overlap for 30 rounds, with uneven callers of up to nine times the rate, and measures rate and burst without the rule's tolerance.

--- a/tests/gateway/rate_limit_test.cc
+++ b/tests/gateway/rate_limit_test.cc
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <ostream>
+#include <random>
 
 #include "support/gateway_world.h"
 
@@ -134,6 +135,57 @@
                            return trouble.param.m_name;
                          });
 
+class RateLimitChaosTest : public testing::TestWithParam<uint32_t> {
+ protected:
+  // A host that ended starts again in the next round, at the earliest: a
+  // process takes longer to be replaced than the burst of its shares takes to
+  // accrue.
+  void StartEndedHosts() {
+    for (size_t host = 0; host < kHosts; ++host) {
+      if (!m_world->m_hosts[host].m_up) {
+        m_world->Start(host);
+      }
+    }
+  }
+
+  void DisturbHost() {
+    constexpr std::array kDelays = {milliseconds(0),   milliseconds(0),
+                                    milliseconds(40),  milliseconds(150),
+                                    milliseconds(450), milliseconds(1500)};
+    const size_t index = m_random() % 3 == 0
+                             ? std::min(m_world->Leader(), kHosts - 1)
+                             : m_random() % kHosts;
+    FakeHost& host = m_world->m_hosts[index];
+    host.m_datagram_delay = kDelays.at(m_random() % kDelays.size());
+    host.m_isolated = m_random() % 4 == 0;
+    host.m_store_unreachable = m_random() % 4 == 0;
+    m_world->SetClientRate(
+        index, kRate / kHosts * static_cast<double>(m_random() % 10));
+    if (m_random() % 5 == 0) {
+      m_world->Kill(index);
+    }
+  }
+
+  std::unique_ptr<GatewayWorld> m_world = StartWorld();
+  std::minstd_rand m_random{GetParam()};
+};
+
+TEST_P(RateLimitChaosTest, WorkspaceDoesNotExceedRateAndBurst) {
+  SetClientRates(*m_world, kFarAboveRate);
+  for (int round = 0; round < 30; ++round) {
+    for (int i = 0; i < 3; ++i) {
+      DisturbHost();
+    }
+    m_world->m_store_down = m_random() % 8 == 0;
+    m_world->m_lost_datagram_rate = m_random() % 3 == 0 ? 0.3 : 0;
+    m_world->Run(milliseconds(1000 + m_random() % 1000));
+    StartEndedHosts();
+  }
+  EXPECT_LE(m_world->m_requests.CountMostRunWithin(kWindow), kMostInWindow);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, RateLimitChaosTest, testing::Range(1U, 41U));
+
 class RateLimitServiceTest : public testing::TestWithParam<milliseconds> {};
 
 // Callers within their rate must not be refused because the leader is slow.
