Route no requests before the number of hosts is known

The cold-start rate of a server is divided by the number of registered hosts, and a host that had not read that table yet took one for the number, so each restarted host could use the whole rate at once.

The tables are read at the same time at the start.

Unit tests 183 of 183, GatewayTest 3 of 3.

--- a/src/gateway/routing_snapshot.cc
+++ b/src/gateway/routing_snapshot.cc
@@ -69,7 +69,11 @@
 std::shared_ptr<const RoutingSnapshot> BuildSnapshot(
     const GatewayTables& tables) {
   auto snapshot = std::make_shared<RoutingSnapshot>();
-  snapshot->m_routes = tables.m_routes;
+  // The hosts divide the cold-start rate among them. A host that does not know
+  // their number would use all of it.
+  if (tables.m_progress[kClusterRows].m_loaded) {
+    snapshot->m_routes = tables.m_routes;
+  }
   tables.m_servers.ForEach([&](ServerId, const ServerRow& server) {
     RoutedServer routed = BuildServer(server);
     auto& servers = snapshot->m_endpoints[server.m_entry.m_service].m_servers;
--- a/src/gateway/routing_snapshot.h
+++ b/src/gateway/routing_snapshot.h
@@ -46,6 +46,8 @@
 
 /// The state that traffic threads route by; immutable once published.
 struct RoutingSnapshot {
+  /// Configuration in force; null until it and the registered gateways have
+  /// been read.
   std::shared_ptr<const RouteIndex> m_routes;
   std::map<std::string, ServiceEndpoints> m_endpoints;
 
