One fake member in the tests of removals that the leader relays

Four tests repeated the same set-up (found by reading the change once more). The checks and their values are as before.

--- a/tests/gateway/relay_test.cc
+++ b/tests/gateway/relay_test.cc
@@ -75,76 +75,76 @@
   EXPECT_LE(CountUnaware(world), 1U);
 }
 
+/// A host that is not the leader and has read the registration of `kServer`.
+struct Member {
+  Member() { ApplyServer(false, 1, false); }
+
+  void ApplyServer(bool draining, uint64_t version, bool removed) {
+    const std::string fields =
+        "10.1.0.2:80 dc-1 " + std::to_string(draining ? 1 : 0) + " 1";
+    m_directory.ApplyServerRows(m_tables, {{kServer, fields, version, removed}},
+                                version == 1, m_now);
+    m_tables.m_progress[kServerRows].RecordAppliedVersion(version);
+  }
+
+  // Receives a response of a leader that relays changes, has never lost the
+  // store, and knows of the servers' rows up to `version`.
+  void HearFromLeader(uint64_t version) {
+    ReportResponse response;
+    response.m_relaying = true;
+    response.m_store_reachable_for_ms = 60'000;
+    response.m_last_change_versions[kServerRows] = version;
+    MemberSystem::OnReportResponse(m_tables, response, m_now);
+  }
+
+  const ServerRow& GetServer() const { return *FindServer(m_tables, kServer); }
+
+  FakeDirectoryDecoder m_decoder;
+  DirectorySystem m_directory{m_decoder};
+  GatewayTables m_tables;
+  Now m_now{TimePoint() + seconds(100), WallTime(), BootTime(seconds(100))};
+};
+
 // A host that had been partitioned treated a server that deregistered 2.4 s
 // after the host reached the store again as one whose registration had expired
 // in an outage. The host kept sending requests to it, although the leader had
 // never lost the store.
 TEST(RelayTest, DeregisteredServerIsRemovedAtAHostThatWasPartitioned) {
-  const FakeDirectoryDecoder decoder;
-  const DirectorySystem directory(decoder);
-  GatewayTables tables;
-  const Now now{TimePoint() + seconds(100), WallTime(), BootTime(seconds(100))};
-  directory.ApplyServerRows(
-      tables, {{kServer, "10.1.0.2:80 dc-1 0 1", 1, false}}, true, now);
-  tables.m_store_reachable_since = now.m_steady;
-  ReportResponse response;
-  response.m_relaying = true;
-  response.m_store_reachable_for_ms = 60'000;
-  MemberSystem::OnReportResponse(tables, response, now);
-  directory.ApplyServerRows(tables, {{kServer, "", 2, true}}, false, now);
-  EXPECT_FALSE(FindServer(tables, kServer)->m_registered);
+  Member member;
+  member.m_tables.m_store_reachable_since = member.m_now.m_steady;
+  member.HearFromLeader(1);
+  member.ApplyServer(false, 2, true);
+  EXPECT_FALSE(member.GetServer().m_registered);
 }
 
 // A watch of a host that had lost the store outlasted the outage and ended with
 // the removal of a server, while the leader was relaying.
 TEST(RelayTest, OwnOutageDoesNotDelayARemovalWhileTheLeaderRelays) {
-  const FakeDirectoryDecoder decoder;
-  const DirectorySystem directory(decoder);
-  GatewayTables tables;
-  const Now now{TimePoint() + seconds(100), WallTime(), BootTime(seconds(100))};
-  directory.ApplyServerRows(
-      tables, {{kServer, "10.1.0.2:80 dc-1 0 1", 1, false}}, true, now);
-  ReportResponse response;
-  response.m_relaying = true;
-  response.m_store_reachable_for_ms = 60'000;
-  MemberSystem::OnReportResponse(tables, response, now);
-  RelaySystem::OnStoreReachable(tables, now);
-  directory.ApplyServerRows(tables, {{kServer, "", 2, true}}, false, now);
-  EXPECT_FALSE(FindServer(tables, kServer)->m_registered);
+  Member member;
+  member.HearFromLeader(1);
+  RelaySystem::OnStoreReachable(member.m_tables, member.m_now);
+  member.ApplyServer(false, 2, true);
+  EXPECT_FALSE(member.GetServer().m_registered);
 }
 
 TEST(RelayTest, OwnOutageCountsWithoutALeaderThatRelays) {
-  const FakeDirectoryDecoder decoder;
-  const DirectorySystem directory(decoder);
-  GatewayTables tables;
-  const Now now{TimePoint() + seconds(100), WallTime(), BootTime(seconds(100))};
-  directory.ApplyServerRows(
-      tables, {{kServer, "10.1.0.2:80 dc-1 0 1", 1, false}}, true, now);
-  RelaySystem::OnStoreReachable(tables, now);
-  directory.ApplyServerRows(tables, {{kServer, "", 2, true}}, false, now);
-  EXPECT_TRUE(FindServer(tables, kServer)->m_registered);
+  Member member;
+  RelaySystem::OnStoreReachable(member.m_tables, member.m_now);
+  member.ApplyServer(false, 2, true);
+  EXPECT_TRUE(member.GetServer().m_registered);
 }
 
 // A host that missed the relayed row hears of a change first and reads it
 // later. It stops sending by when it heard.
 TEST(RelayTest, ADrainReadLateEndsNoLater) {
-  const FakeDirectoryDecoder decoder;
-  const DirectorySystem directory(decoder);
   for (const bool removed : {false, true}) {
-    GatewayTables tables;
-    Now now{TimePoint() + seconds(100), WallTime(), BootTime(seconds(100))};
-    directory.ApplyServerRows(
-        tables, {{kServer, "10.1.0.2:80 dc-1 0 1", 1, false}}, true, now);
-    tables.m_progress[kServerRows].RecordAppliedVersion(1);
-    ReportResponse response;
-    response.m_last_change_versions[kServerRows] = 2;
-    MemberSystem::OnReportResponse(tables, response, now);
-    const TimePoint heard_at = now.m_steady;
-    now.m_steady += milliseconds(500);
-    directory.ApplyServerRows(
-        tables, {{kServer, "10.1.0.2:80 dc-1 1 1", 2, removed}}, false, now);
-    const ServerRow* server = FindServer(tables, kServer);
-    EXPECT_EQ(removed ? server->m_deregistered_since : server->m_draining_since,
+    Member member;
+    member.HearFromLeader(2);
+    const TimePoint heard_at = member.m_now.m_steady;
+    member.m_now.m_steady += milliseconds(500);
+    member.ApplyServer(true, 2, removed);
+    const ServerRow& server = member.GetServer();
+    EXPECT_EQ(removed ? server.m_deregistered_since : server.m_draining_since,
               heard_at);
   }
 }
