Chaos test of ownership: slow hosts send calls late, and fences must rise

The supposed cause, a slow leader that sends grants after its lease, was tried: hosts now send calls up to 0.75 s after they have decided on them, and the test also fails if a server takes a key under a fence below one that another server had it with.

--- a/tests/gateway/ownership_test.cc
+++ b/tests/gateway/ownership_test.cc
@@ -258,7 +258,7 @@
   for (int i = 0; i < 60; ++i) {
     const size_t host = below(5);
     const size_t server = below(6);
-    switch (below(8)) {
+    switch (below(9)) {
       case 0:
         world.m_hosts[host].m_up ? world.Kill(host) : world.Start(host);
         break;
@@ -285,12 +285,16 @@
           world.m_servers[server].m_unreachable_from.insert(host);
         }
         break;
+      case 7:
+        world.m_hosts[host].m_call_delay = milliseconds(150 * below(6));
+        break;
       default:
         world.m_hosts[host].m_isolated ^= true;
     }
     world.Run(milliseconds(100 + below(1500)));
   }
   EXPECT_EQ(world.m_double_grants, 0U);
+  EXPECT_EQ(world.m_low_fences, 0U);
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, GatewayChaosTest, testing::Range(1U, 41U));
--- a/tests/support/gateway_world.cc
+++ b/tests/support/gateway_world.cc
@@ -294,6 +294,15 @@
   return fake.m_up ? ServerCallOutcome::kDone : ServerCallOutcome::kUnknown;
 }
 
+void GatewayWorld::RecordFence(uint32_t sample, size_t server, uint64_t fence) {
+  auto& [highest, holder] = m_highest_fences[sample];
+  m_low_fences += fence < highest && server != holder ? 1 : 0;
+  if (fence > highest) {
+    highest = fence;
+    holder = server;
+  }
+}
+
 ServerCallOutcome GatewayWorld::ApplyGrant(size_t server,
                                            const GrantCommand& command) {
   FakeServer& fake = m_servers[server];
@@ -307,12 +316,23 @@
     if (command.m_keys.Contains(i * kKeysPerSample)) {
       fake.m_grants[i] = {command.m_fence, command.m_fence,
                           m_now + command.m_grant_ttl};
+      RecordFence(i, server, command.m_fence);
     }
   }
   return ServerCallOutcome::kDone;
 }
 
 void GatewayWorld::Execute(size_t host, const GrantCommand& command) {
+  Schedule(host, m_hosts[host].m_call_delay,
+           [this, host, command] { Send(host, command); });
+}
+
+void GatewayWorld::Execute(size_t host, const ReleaseCommand& command) {
+  Schedule(host, m_hosts[host].m_call_delay,
+           [this, host, command] { Send(host, command); });
+}
+
+void GatewayWorld::Send(size_t host, const GrantCommand& command) {
   const size_t server = ServerAt(command.m_address);
   const int64_t incarnation = m_servers[server].m_incarnation;
   ServerCallOutcome outcome = FindOutcome(host, server);
@@ -344,7 +364,7 @@
   });
 }
 
-void GatewayWorld::Execute(size_t host, const ReleaseCommand& command) {
+void GatewayWorld::Send(size_t host, const ReleaseCommand& command) {
   const size_t server = ServerAt(command.m_address);
   FakeServer& fake = m_servers[server];
   const ServerCallOutcome outcome = FindOutcome(host, server);
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -77,6 +77,10 @@
   /// Datagrams to and from this host take this much longer.
   Duration m_datagram_delay{};
 
+  /// The host is slow: it sends calls to servers this long after it has decided
+  /// on them.
+  Duration m_call_delay{};
+
   /// Loads that the host's reports contain.
   std::vector<ServiceLoad> m_loads;
 
@@ -141,6 +145,10 @@
   size_t m_watch_reads = 0;
   size_t m_double_grants = 0;
 
+  /// Grants that a server took although another server had had the key under a
+  /// higher fencing token.
+  size_t m_low_fences = 0;
+
   /// What became of the clients' requests at all hosts.
   RequestRecord m_requests;
   TimePoint m_now = TimePoint() + std::chrono::hours(1);
@@ -162,6 +170,8 @@
   void ExecuteCommand(size_t host, const ControlCommand& command);
   void Execute(size_t host, const GrantCommand& command);
   void Execute(size_t host, const ReleaseCommand& command);
+  void Send(size_t host, const GrantCommand& command);
+  void Send(size_t host, const ReleaseCommand& command);
   void Execute(size_t host, const ReadRowCommand& command);
   void Execute(size_t host, const WriteRowCommand& command);
   void Execute(size_t host, const SendDatagramCommand& command);
@@ -169,6 +179,7 @@
   ServerCallOutcome FindOutcome(size_t host, size_t server) const;
   ServerCallOutcome ApplyGrant(size_t server, const GrantCommand& command);
   void CountDoubleGrants();
+  void RecordFence(uint32_t sample, size_t server, uint64_t fence);
   void Schedule(size_t host, Duration delay, std::function<void()> action);
   bool ReachesStore(size_t host) const;
   size_t ServerAt(const std::string& address) const;
@@ -181,6 +192,9 @@
   FakeDirectoryDecoder m_decoder;
   DirectorySystem m_directory{m_decoder};
   std::map<std::pair<std::string, std::string>, StoredValue> m_rows;
+  /// Highest fencing token under which each sampled key was granted, and the
+  /// server that had it then.
+  std::array<std::pair<uint64_t, size_t>, kSampledKeys> m_highest_fences{};
   uint64_t m_version = 0;
   uint64_t m_config_version = 0;
   std::multimap<TimePoint, std::function<void()>> m_scheduled;
