A server has ended once another has its address

The registration of the old server stays until it has been silent for some time, though the new one is registered already.

Change: of several servers registered with one address, all have ended but the one that wrote its row last, since an address is used again only after its server has ended (row versions of the store, not the servers' clocks, tell the order). A server that has ended gets no requests, keeps no keys, and need not release or be fenced before its keys are granted to another.

--- a/src/gateway/directory_system.cc
+++ b/src/gateway/directory_system.cc
@@ -38,6 +38,28 @@
        {{"cell", server.m_entry.m_service}, {"server", server.m_entry.m_id}}});
 }
 
+// An address is used again only after its server has ended, so all servers at
+// the address have ended but the one that wrote its row last. Their rows stay
+// until they have been silent for some time.
+void EndReplacedServers(GatewayTables& tables,
+                        const std::string& address,
+                        const Now& now) {
+  std::vector<ServerRow*> servers;
+  tables.m_servers.ForEach([&](ServerId, ServerRow& server) {
+    if (server.m_registered && server.m_entry.m_address == address) {
+      servers.push_back(&server);
+    }
+  });
+  const ServerRow* newest =
+      *std::ranges::max_element(servers, {}, &ServerRow::m_row_version);
+  for (ServerRow* server : servers) {
+    if (server != newest) {
+      server->m_ended = true;
+      Deregister(tables, *server, now.m_steady);
+    }
+  }
+}
+
 void HandleMissingServer(GatewayTables& tables,
                          ServerRow& server,
                          const Now& now) {
@@ -226,6 +248,9 @@
          {{"cell", entry.m_service}, {"server", entry.m_id}}});
   }
   const bool restarted = server->m_entry.m_incarnation != entry.m_incarnation;
+  if (server->m_ended && !restarted) {
+    return;
+  }
   if (restarted || !server->m_registered) {
     server->m_consecutive_failures = 0;
     server->m_ended = false;
@@ -240,8 +265,12 @@
   server->m_registered = true;
   server->m_missing = false;
   server->m_entry = std::move(entry);
+  server->m_row_version = row.m_version;
   server->m_evacuated =
       tables.m_evacuated.contains(server->m_entry.m_data_centre);
+  if (restarted) {
+    EndReplacedServers(tables, server->m_entry.m_address, now);
+  }
 }
 
 void DirectorySystem::ApplyServerRows(GatewayTables& tables,
--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -50,6 +50,7 @@
 /// A backend server and its registration.
 struct ServerRow {
   BackendServerEntry m_entry;
+  uint64_t m_row_version = 0;
 
   /// False once the registration has been removed. The row stays until no range
   /// refers to the server.
@@ -72,8 +73,7 @@
 
   SpeedEstimate m_speed;
 
-  /// Another server answered at the address, so this one has ended and holds no
-  /// keys. Only the leader learns this.
+  /// Another server has the address, so this one has ended and holds no keys.
   bool m_ended = false;
 
   /// Number of consecutive failed calls, and the time of the first of them.
--- a/src/gateway/range_grant_system.cc
+++ b/src/gateway/range_grant_system.cc
@@ -89,6 +89,10 @@
                           RangeId id,
                           RangeRow& row,
                           const Now& now) {
+  std::erase_if(row.m_previous_owners, [&tables](const std::string& server_id) {
+    const ServerRow* server = FindServer(tables, server_id);
+    return server && server->m_ended;
+  });
   if (row.m_previous_owners.empty() || now.m_steady >= row.m_granted_until) {
     row.m_previous_owners.clear();
     row.m_phase = RangePhase::kGranting;
--- a/src/gateway/routing_snapshot.cc
+++ b/src/gateway/routing_snapshot.cc
@@ -20,7 +20,9 @@
   routed.m_cold_until = server.m_cold_until;
   routed.m_eligible = IsEligible(server);
   routed.m_send_until = TimePoint::max();
-  if (!server.m_registered) {
+  if (server.m_ended) {
+    routed.m_send_until = TimePoint::min();
+  } else if (!server.m_registered) {
     routed.m_send_until = server.m_deregistered_since + kDrainGracePeriod;
   } else if (!routed.m_eligible) {
     routed.m_send_until = server.m_draining_since + kDrainGracePeriod;
--- /dev/null
+++ b/tests/gateway/directory_system_test.cc
@@ -0,0 +1,96 @@
+#include "gateway/directory_system.h"
+
+#include <gtest/gtest.h>
+
+#include "gateway/range_grant_system.h"
+#include "gateway/routing_snapshot.h"
+#include "support/gateway_world.h"
+
+namespace foxtail {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr const char* kOld = "server-old";
+constexpr const char* kNew = "server-new";
+
+/// A host that reads registrations of two servers at one address.
+class ReplacedServerTest : public testing::Test {
+ protected:
+  void Apply(const char* server, uint64_t version, bool complete = false) {
+    ApplyRows({MakeRow(server, version)}, complete);
+  }
+
+  static StoredRow MakeRow(const char* server, uint64_t version) {
+    return {server, "10.1.0.2:80 dc-1 0 1", version, false};
+  }
+
+  void ApplyRows(const std::vector<StoredRow>& rows, bool complete) {
+    m_directory.ApplyServerRows(m_tables, rows, complete, m_now);
+  }
+
+  bool HasEnded(const char* server) {
+    const ServerRow* row = FindServer(m_tables, server);
+    return row->m_ended && !row->m_registered;
+  }
+
+  FakeDirectoryDecoder m_decoder;
+  DirectorySystem m_directory{m_decoder};
+  GatewayTables m_tables;
+  Now m_now{TimePoint() + seconds(100), WallTime(), BootTime(seconds(100))};
+};
+
+// Requests went on to the address of a server that had ended, and reached a
+// server of another service, until the old registration had expired.
+TEST_F(ReplacedServerTest, ServerHasEndedOnceAnotherHasItsAddress) {
+  Apply(kOld, 1);
+  Apply(kNew, 2);
+  EXPECT_TRUE(HasEnded(kOld));
+  EXPECT_FALSE(HasEnded(kNew));
+  const auto snapshot = BuildSnapshot(m_tables);
+  const auto& servers = snapshot->FindEndpoints("catalogue")->m_servers;
+  EXPECT_LT(servers.at(kOld).m_send_until, m_now.m_steady);
+  EXPECT_TRUE(servers.at(kNew).m_eligible);
+}
+
+TEST_F(ReplacedServerTest, TheOrderOfTheRowsDoesNotMatter) {
+  ApplyRows({MakeRow(kNew, 2), MakeRow(kOld, 1)}, true);
+  EXPECT_TRUE(HasEnded(kOld));
+  EXPECT_FALSE(HasEnded(kNew));
+  ApplyRows({MakeRow(kNew, 3), MakeRow(kOld, 1)}, true);
+  EXPECT_TRUE(HasEnded(kOld));
+  EXPECT_FALSE(HasEnded(kNew));
+}
+
+TEST_F(ReplacedServerTest, ServerThatStartsAgainElsewhereIsUsed) {
+  Apply(kOld, 1);
+  Apply(kNew, 2);
+  ApplyRows({{kOld, "10.1.0.3:80 dc-1 0 2", 3, false}}, false);
+  EXPECT_FALSE(HasEnded(kOld));
+  EXPECT_FALSE(HasEnded(kNew));
+}
+
+// A server that has ended holds no keys, so nothing waits for its grants.
+TEST_F(ReplacedServerTest, ItsKeysAreGrantedWithoutACallToIt) {
+  Apply(kOld, 1);
+  Apply(kNew, 2);
+  ApplyRows({{"server-next", "10.1.0.3:80 dc-1 0 1", 3, false}}, false);
+  m_tables.m_leader_lease.m_phase = LeaderLeasePhase::kLeader;
+  m_tables.m_leader_lease.m_authority_until = m_now.m_boot + seconds(2);
+  RangeRow range;
+  range.m_service = m_tables.m_services.Insert({});
+  range.m_owner = "server-next";
+  range.m_previous_owners = {kOld};
+  range.m_phase = RangePhase::kReleasing;
+  range.m_granted_until = m_now.m_steady + seconds(10);
+  range.m_owner_incarnation = 1;
+  m_tables.m_ranges.Insert(std::move(range));
+  RangeGrantSystem::Run(m_tables, m_now);
+  ASSERT_EQ(m_tables.m_outbox.size(), 1U);
+  const auto* grant = std::get_if<GrantCommand>(&m_tables.m_outbox.front());
+  ASSERT_TRUE(grant);
+  EXPECT_EQ(grant->m_server, "server-next");
+}
+
+}  // namespace
+}  // namespace foxtail
