--- a/tests/platform/server_control_client_test.cc
+++ b/tests/platform/server_control_client_test.cc
@@ -18,7 +18,7 @@
   FakeReplacement()
       : m_http({"127.0.0.1", 0},
                HttpServerSettings(),
-               [this](const HttpRequest& request) { return Serve(request); }) {
+               [](const HttpRequest& request) { return Serve(request); }) {
     m_http.Start();
   }
   ~FakeReplacement() { m_http.Stop(seconds(1)); }
