--- a/src/core/error.cc
+++ b/src/core/error.cc
@@ -22,6 +22,8 @@
               kNotRun, "the workspace may not call this service"},
     ErrorInfo{ErrorCode::kRouteUnknown, "route_unknown", 404, kNotRun,
               "no service has this route"},
+    ErrorInfo{ErrorCode::kRouteUnusable, "route_unusable", 503, kNotRun,
+              "the route is of a kind that this program does not know"},
     ErrorInfo{ErrorCode::kPartitionKeyMissing, "partition_key_missing", 400,
               kNotRun, "the header x-partition-key is missing"},
     ErrorInfo{ErrorCode::kPartitionNotServed, "partition_not_served", 503,
--- a/src/core/error.h
+++ b/src/core/error.h
@@ -21,6 +21,7 @@
   kApiKeyUnknown,
   kWorkspaceNotAllowed,
   kRouteUnknown,
+  kRouteUnusable,
   kPartitionKeyMissing,
   kPartitionNotServed,
   kRateExceeded,
--- a/src/core/event.cc
+++ b/src/core/event.cc
@@ -88,6 +88,9 @@
               "A row of the store could not be read and is ignored."},
     EventInfo{kDirectoryRead, "directory_read", "table rows version",
               "A watched table of the store was read in full."},
+    EventInfo{kRoutesUnusable, "routes_unusable", "version routes first reason",
+              "Routes of the configuration are of an unknown kind; their "
+              "requests are refused."},
     EventInfo{kDispatchLeaseTaken, "dispatch_lease_taken", "cell server epoch",
               "This entry may send to the backend server."},
     EventInfo{kDispatchLeaseReleased, "dispatch_lease_released",
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -48,6 +48,7 @@
   kConfigurationInForce = 403,
   kRowUnreadable = 404,
   kDirectoryRead = 405,
+  kRoutesUnusable = 406,
   kDispatchLeaseTaken = 500,
   kDispatchLeaseReleased = 501,
   kRequestRefused = 510,
--- a/src/gateway/directory_system.cc
+++ b/src/gateway/directory_system.cc
@@ -74,6 +74,23 @@
   }
 }
 
+// One line for all such routes: a configuration may have hundreds.
+void LogUnusableRoutes(GatewayTables& tables, const RoutingConfig& config) {
+  const auto is_unusable = [](const RouteRow& route) {
+    return !route.m_unusable_reason.empty();
+  };
+  const auto first = std::ranges::find_if(config.m_routes, is_unusable);
+  if (first == config.m_routes.end()) {
+    return;
+  }
+  tables.m_events.push_back(
+      {EventNumber::kRoutesUnusable,
+       {{"version", config.m_version},
+        {"routes", std::ranges::count_if(config.m_routes, is_unusable)},
+        {"first", first->m_name},
+        {"reason", first->m_unusable_reason}}});
+}
+
 void UpdateEvacuations(GatewayTables& tables, const Now& now) {
   tables.m_servers.ForEach([&](ServerId, ServerRow& server) {
     const bool evacuated =
@@ -173,6 +190,7 @@
     tables.m_routes = std::make_shared<const RouteIndex>(std::move(config));
     tables.m_events.push_back(
         {EventNumber::kConfigurationInForce, {{"version", version}}});
+    LogUnusableRoutes(tables, tables.m_routes->GetConfig());
   } catch (const Error& failure) {
     LogUnreadableRow(tables, m_decoder.OperatorTable(), row.m_key,
                      failure.GetDetail());
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -222,6 +222,9 @@
   context.m_routes = context.m_snapshot->m_routes;
   context.m_route = &context.m_routes->Match(context.m_request.m_host,
                                              context.m_request.m_path);
+  if (!context.m_route->m_unusable_reason.empty()) {
+    throw Error(ErrorCode::kRouteUnusable, context.m_route->m_unusable_reason);
+  }
   context.m_deadline = std::min(
       context.m_deadline, context.m_started_at + context.m_route->m_timeout);
   context.m_priority = context.m_route->m_priority;
--- a/src/routing/routing_config.h
+++ b/src/routing/routing_config.h
@@ -24,6 +24,10 @@
   /// Begins and ends with a slash.
   std::string m_prefix;
 
+  /// Why requests of this route cannot be handled; empty if they can. Such a
+  /// route still matches its requests, so that no other route takes them.
+  std::string m_unusable_reason;
+
   /// Whether a request may be executed more than once.
   bool m_idempotent = false;
 
