Read requests ahead, and pass large bodies on in pieces

Cause: the server read one request of a connection at a time, so a client that sends further requests before the first is answered waited for each in turn, and the deadline of a request counted from its reading, not its arrival. Response bodies were held whole, up to 8 MB each.

Change: HttpServerConnection reads up to 8 requests with safe methods ahead and runs each on a fiber of its own; PipelineOrder, without I/O, decides what may be read, when a request may start and whose response is next. A request with another method starts when all before it are answered, so nothing that a closing connection leaves unanswered has run. A stop answers all that was read; only the last response announces the end. HttpRequest carries its time of arrival. HttpResponseReader returns a body over 64 KiB in pieces of 16 KiB, each read when the client has taken the one before; one that breaks off ends the client's connection early, so it never looks complete, and is logged. Shorter bodies are still held whole, so that a broken one can be replaced by another server's.

--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -4,23 +4,23 @@
 #include <array>
 
 #include "core/error.h"
+#include "gateway/tracked_body_stream.h"
 
 namespace foxtail {
 namespace {
 
 using std::chrono::milliseconds;
 
-// A faulty server may send bytes without end. A few such responses at a time
-// must fit into the memory of a small host.
-constexpr size_t kResponseBodyLimit = 8 * 1024 * 1024;  // bytes
+// Larger response bodies are passed on in pieces. A response that breaks off
+// within this many bytes can still be replaced by that of another server.
+constexpr size_t kMaxBufferedBody = 64 * 1024;  // bytes
 
 // Backend servers close idle connections after some seconds. The shorter limit
 // here keeps requests off connections that are about to close.
 constexpr HttpClientSettings kClientSettings{
     .m_max_idle_connections = 16,
     .m_max_idle_time = std::chrono::seconds(6),
-    .m_connect_timeout = milliseconds(300),
-    .m_body_limit = kResponseBodyLimit};
+    .m_connect_timeout = milliseconds(300)};
 
 // Responses are accepted for this long after the deadline that was sent to the
 // server.
@@ -155,7 +155,7 @@
 
 HttpResponse RequestHandler::Handle(HttpRequest& request) {
   RequestContext context;
-  context.m_started_at = Clock::now();
+  context.m_started_at = request.m_arrived_at;
   context.m_cancellation = request.m_cancellation;
   m_request_log.CountRequest();
   try {
@@ -181,15 +181,39 @@
 
 void RequestHandler::LogFailure(const RequestContext& context,
                                 const Error& error) {
+  LogFailure(BuildLogEntry(context), error);
+}
+
+void RequestHandler::LogFailure(const RequestLogEntry& entry,
+                                const Error& error) {
   m_metrics.Count("foxtail_errors_total", "error",
                   std::string(InfoOf(error.GetCode()).m_name));
-  const auto age = std::chrono::duration_cast<milliseconds>(
-      Clock::now() - context.m_started_at);
-  m_request_log.LogFailure(
-      {context.m_request.m_request_id, context.WorkspaceName(),
-       context.m_service, context.m_last_server, context.m_attempts, age,
-       ConfigurationVersion()},
-      error);
+  m_request_log.LogFailure(entry, error);
+}
+
+RequestLogEntry RequestHandler::BuildLogEntry(
+    const RequestContext& context) const {
+  return {context.m_request.m_request_id,
+          context.WorkspaceName(),
+          context.m_service,
+          context.m_last_server,
+          context.m_attempts,
+          std::chrono::duration_cast<milliseconds>(Clock::now() -
+                                                   context.m_started_at),
+          ConfigurationVersion()};
+}
+
+// The handler has returned when the rest of a large body breaks off.
+void RequestHandler::TrackBody(const RequestContext& context,
+                               HttpResponse& response) {
+  if (response.m_body_stream) {
+    response.m_body_stream = std::make_shared<TrackedBodyStream>(
+        std::move(response.m_body_stream),
+        [this, entry = BuildLogEntry(context)](const Error& failure) {
+          LogFailure(entry, Error(ErrorCode::kServerLost, Execution::kUnknown,
+                                  failure.GetDetail()));
+        });
+  }
 }
 
 HttpResponse RequestHandler::Process(HttpRequest& request,
@@ -276,6 +300,7 @@
     const AttemptOutcome outcome =
         SendOnce(request, context, *server, response);
     if (outcome == AttemptOutcome::kResponded) {
+      TrackBody(context, response);
       return m_front_end.BuildClientResponse(std::move(response));
     }
     context.RequireClient();
@@ -433,6 +458,7 @@
     return server_response.m_kind != ResponseKind::kInvalid;
   };
   options.m_force_new_connection = context.m_attempts > 1;
+  options.m_max_buffered_body = kMaxBufferedBody;
   ExchangeResult result =
       m_client.Exchange(server.m_address, forwarded,
                         context.m_deadline + kResponseMargin, options);
@@ -498,11 +524,7 @@
     return false;
   }
   m_request_log.LogRetry(
-      {context.m_request.m_request_id, context.WorkspaceName(),
-       context.m_service, context.m_last_server, context.m_attempts,
-       std::chrono::duration_cast<milliseconds>(Clock::now() -
-                                                context.m_started_at),
-       ConfigurationVersion()},
+      BuildLogEntry(context),
       outcome == AttemptOutcome::kOutcomeUnknown ? "lost" : "not_run");
   if (context.m_sharded && outcome != AttemptOutcome::kOutcomeUnknown) {
     // Only the owner can run the request: wait briefly for the owner to recover
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -98,6 +98,9 @@
                     ErrorCode unknown);
   void CountSliceLoad(const RequestContext& context);
   void LogFailure(const RequestContext& context, const Error& error);
+  void LogFailure(const RequestLogEntry& entry, const Error& error);
+  RequestLogEntry BuildLogEntry(const RequestContext& context) const;
+  void TrackBody(const RequestContext& context, HttpResponse& response);
   RetryBudget& GetRetryBudget(const std::string& service);
   void WakeQueueHead(SendServerId id);
 
--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -5,16 +5,13 @@
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
 
 #include "core/error.h"
 #include "runtime/fiber_scheduler.h"
-#include "runtime/fiber_stream.h"
+#include "runtime/http_response_reader.h"
 
 namespace foxtail {
 namespace {
@@ -80,45 +77,18 @@
   return message;
 }
 
-HttpResponse ToResponse(http::response<http::string_body>&& message) {
-  HttpResponse response;
-  response.m_status = static_cast<int>(message.result_int());
-  for (const auto& field : message) {
-    response.m_headers.Add(
-        std::string_view(field.name_string().data(),
-                         field.name_string().size()),
-        std::string_view(field.value().data(), field.value().size()));
-  }
-  response.m_body = std::move(message.body());
-  return response;
-}
-
 }  // namespace
 
-struct HttpClient::Connection {
-  explicit Connection(asio::io_context& io) : m_stream(tcp::socket(io)) {}
-
-  // Input on an idle connection means that the server closed it or that its
-  // responses no longer match its requests.
-  bool IsUsable() { return m_buffer.size() == 0 && m_stream.IsOpenAndIdle(); }
-
-  FiberStream m_stream;
-  beast::flat_buffer m_buffer{kReadBufferLimit};
-
-  /// An idle connection is not used again after this time.
-  TimePoint m_usable_until;
-};
-
 HttpClient::HttpClient(const HttpClientSettings& settings)
     : m_settings(settings) {}
 
 HttpClient::~HttpClient() = default;
 
-std::unique_ptr<HttpClient::Connection> HttpClient::TakeIdleConnection(
+std::unique_ptr<HttpClientConnection> HttpClient::TakeIdleConnection(
     const Address& address) {
   auto& idle = m_idle_connections[address.ToString()];
   while (!idle.empty()) {
-    std::unique_ptr<Connection> connection = std::move(idle.back());
+    std::unique_ptr<HttpClientConnection> connection = std::move(idle.back());
     idle.pop_back();
     if (Clock::now() < connection->m_usable_until && connection->IsUsable()) {
       return connection;
@@ -127,11 +97,11 @@
   return nullptr;
 }
 
-std::unique_ptr<HttpClient::Connection> HttpClient::Connect(
+std::unique_ptr<HttpClientConnection> HttpClient::Connect(
     const Address& address,
     TimePoint deadline,
     ExchangeResult& result) {
-  auto connection = std::make_unique<Connection>(ThreadIoContext());
+  auto connection = std::make_unique<HttpClientConnection>(ThreadIoContext());
   const tcp::endpoint endpoint(asio::ip::make_address(address.m_host),
                                address.m_port);
   connection->m_stream.SetDeadline(
@@ -147,8 +117,9 @@
   return connection;
 }
 
-void HttpClient::ReturnToPool(const Address& address,
-                              std::unique_ptr<Connection> connection) {
+void HttpClient::ReturnToPool(
+    const Address& address,
+    std::unique_ptr<HttpClientConnection> connection) {
   auto& idle = m_idle_connections[address.ToString()];
   if (idle.size() < m_settings.m_max_idle_connections) {
     idle.push_back(std::move(connection));
@@ -160,7 +131,7 @@
                                     TimePoint deadline,
                                     const ExchangeOptions& options) {
   ExchangeResult result;
-  std::unique_ptr<Connection> connection =
+  std::unique_ptr<HttpClientConnection> connection =
       options.m_force_new_connection ? nullptr : TakeIdleConnection(address);
   if (!connection) {
     connection = Connect(address, deadline, result);
@@ -176,40 +147,61 @@
     return result;
   }
   result.m_progress = ExchangeProgress::kMaybeSent;
-  const CancellationScope scope(request.m_cancellation, [&connection] {
-    // Closing the connection tells the server to stop working on the request.
-    connection->m_stream.Abort();
-  });
   connection->m_stream.SetDeadline(deadline);
+  auto reader = std::make_shared<HttpResponseReader>(std::move(connection),
+                                                     request.m_cancellation);
   error_code failure;
-  http::write(connection->m_stream, message, failure);
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(m_settings.m_body_limit);
+  http::write(reader->GetConnection().m_stream, message, failure);
   if (!failure) {
-    http::read(connection->m_stream, connection->m_buffer, parser, failure);
+    failure = ReadResponse(*reader, request, options, result.m_response);
   }
   if (failure) {
-    // The connection is reset, so that a late response is never taken for the
-    // response to a later request, and a cancelled or timed-out call never
-    // arrives at a server that becomes reachable again.
-    connection->m_stream.Abort();
     result.m_timed_out = failure == asio::error::timed_out;
     return result;
   }
   result.m_ok = true;
-  const bool keep_alive = parser.get().keep_alive();
-  result.m_response = ToResponse(parser.release());
-  connection->m_usable_until =
-      Clock::now() +
-      MaxIdleTimeOf(result.m_response, m_settings.m_max_idle_time);
-  const bool matches_request = !options.m_matches_request ||
-                               options.m_matches_request(result.m_response);
-  if (keep_alive && matches_request) {
-    ReturnToPool(address, std::move(connection));
+  const bool reusable =
+      reader->KeepsAlive() && (!options.m_matches_request ||
+                               options.m_matches_request(result.m_response));
+  reader->SetOnComplete([this, address, reusable,
+                         max_idle_time = MaxIdleTimeOf(
+                             result.m_response, m_settings.m_max_idle_time)](
+                            std::unique_ptr<HttpClientConnection> finished) {
+    finished->m_usable_until = Clock::now() + max_idle_time;
+    if (reusable) {
+      ReturnToPool(address, std::move(finished));
+    }
+  });
+  if (reader->IsDone()) {
+    reader->Complete();
+  } else {
+    result.m_response.m_body_stream = std::move(reader);
   }
   return result;
 }
 
+// Reads the head and the body, or the first part of a body that is passed on in
+// pieces.
+error_code HttpClient::ReadResponse(HttpResponseReader& reader,
+                                    const HttpRequest& request,
+                                    const ExchangeOptions& options,
+                                    HttpResponse& response) const {
+  error_code failure = reader.ReadHead(request.m_method != "HEAD", response);
+  const bool in_pieces = options.m_max_buffered_body < m_settings.m_body_limit;
+  const size_t limit =
+      in_pieces ? options.m_max_buffered_body : m_settings.m_body_limit;
+  if (!failure && !in_pieces && response.m_body_length > limit) {
+    failure = http::make_error_code(http::error::body_limit);
+  }
+  if (!failure) {
+    failure = reader.ReadBody(response.m_body, limit);
+  }
+  if (!failure && !in_pieces && !reader.IsDone()) {
+    failure = http::make_error_code(http::error::body_limit);
+  }
+  return failure;
+}
+
 HttpResponse HttpClient::Call(const Address& address,
                               const HttpRequest& request,
                               Duration timeout) {
--- a/src/runtime/http_client.h
+++ b/src/runtime/http_client.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <boost/system/error_code.hpp>
+#include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -11,6 +14,9 @@
 
 namespace foxtail {
 
+struct HttpClientConnection;
+class HttpResponseReader;
+
 /// Whether a failed exchange may have sent its request. Only `kNothingSent`
 /// proves that the server cannot have received the request.
 enum class ExchangeProgress {
@@ -45,6 +51,11 @@
   /// connection, a late second response to an earlier attempt of the same
   /// request could not be told from the response to this attempt.
   bool m_force_new_connection = false;
+
+  /// A longer body, in bytes, is returned in pieces: the response holds this
+  /// much of it and a stream of the rest, which must be read or destroyed
+  /// before the client. Bodies over the client's limit are then accepted.
+  size_t m_max_buffered_body = std::numeric_limits<size_t>::max();
 };
 
 /// Limits of an `HttpClient`.
@@ -73,8 +84,8 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
-  /// Sends a request and reads the whole response by `deadline`. When the
-  /// request's cancellation is triggered, the connection is closed. A request
+  /// Sends a request and reads the response by `deadline`. When the request's
+  /// cancellation is triggered, the connection is closed. A request
   /// without a Host field is sent with `address` as its Host.
   ExchangeResult Exchange(const Address& address,
                           const HttpRequest& request,
@@ -89,17 +100,21 @@
                     Duration timeout);
 
  private:
-  struct Connection;
-
-  std::unique_ptr<Connection> TakeIdleConnection(const Address& address);
-  std::unique_ptr<Connection> Connect(const Address& address,
-                                      TimePoint deadline,
-                                      ExchangeResult& result);
+  std::unique_ptr<HttpClientConnection> TakeIdleConnection(
+      const Address& address);
+  std::unique_ptr<HttpClientConnection> Connect(const Address& address,
+                                                TimePoint deadline,
+                                                ExchangeResult& result);
   void ReturnToPool(const Address& address,
-                    std::unique_ptr<Connection> connection);
+                    std::unique_ptr<HttpClientConnection> connection);
+  boost::system::error_code ReadResponse(HttpResponseReader& reader,
+                                         const HttpRequest& request,
+                                         const ExchangeOptions& options,
+                                         HttpResponse& response) const;
 
   HttpClientSettings m_settings;
-  std::unordered_map<std::string, std::vector<std::unique_ptr<Connection>>>
+  std::unordered_map<std::string,
+                     std::vector<std::unique_ptr<HttpClientConnection>>>
       m_idle_connections;
 };
 
--- a/src/runtime/http_message.h
+++ b/src/runtime/http_message.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "core/time.h"
 #include "runtime/cancellation.h"
 
 namespace foxtail {
@@ -47,6 +49,17 @@
   std::vector<HttpHeader> m_fields;
 };
 
+/// The rest of a response body that is still being received.
+class BodyStream {
+ public:
+  virtual ~BodyStream() = default;
+
+  /// Replaces `piece` by the next bytes of the body, a bounded number; an empty
+  /// piece means that the body is complete. Blocks the calling fiber. Throws
+  /// `Error(kNetwork)` if the body breaks off.
+  virtual void Read(std::string& piece) = 0;
+};
+
 /// A complete HTTP request, independent of the HTTP library.
 struct HttpRequest {
   std::string m_method = "GET";
@@ -54,16 +67,24 @@
   HttpHeaders m_headers;
   std::string m_body;
 
+  /// When the first bytes of the request arrived.
+  TimePoint m_arrived_at;
+
   /// Triggered when the client disconnects before the request is answered; may
   /// be null.
   std::shared_ptr<Cancellation> m_cancellation;
 };
 
-/// A complete HTTP response, independent of the HTTP library.
+/// An HTTP response, independent of the HTTP library.
 struct HttpResponse {
   int m_status = 200;
   HttpHeaders m_headers;
   std::string m_body;
+
+  /// The part of the body that follows `m_body`; null if `m_body` is the whole
+  /// body. `m_body_length` is the length of the whole body in bytes, if known.
+  std::shared_ptr<BodyStream> m_body_stream;
+  std::optional<uint64_t> m_body_length;
   bool m_close_connection = false;
 
   /// Closes the connection without a response: after the client has
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <functional>
 #include <list>
+#include <memory>
 
 #include "core/time.h"
 #include "runtime/address.h"
@@ -30,12 +31,18 @@
   /// Maximum time that a connection waits for its next request.
   Duration m_idle_timeout = std::chrono::seconds(60);
 
+  /// Number of requests of one connection that are read before the first of
+  /// them is answered. Only requests with safe methods are read ahead.
+  size_t m_max_pipelined = 8;
+
   /// Whether several listeners may share the port.
   bool m_reuse_port = false;
 };
 
-/// HTTP/1.1 server on the fibers of the calling thread. Each connection has one
-/// fiber, so requests of a connection are answered in order.
+class HttpServerConnection;
+
+/// HTTP/1.1 server on the fibers of the calling thread. Requests of a
+/// connection are answered in order.
 class HttpServer {
  public:
   using Handler = std::function<HttpResponse(HttpRequest&)>;
@@ -71,19 +78,19 @@
 
   size_t GetConnectionCount() const { return m_connections.size(); }
 
-  /// One accepted connection.
-  struct Connection;
+  const HttpServerSettings& GetSettings() const { return m_settings; }
+  const Handler& GetHandler() const { return m_handler; }
+
+  /// Returns whether connections are closed after the next response.
+  bool IsClosingConnections() const { return m_draining || m_stopping; }
 
  private:
   void AcceptLoop();
-  void ServeConnection(Connection& connection);
-  bool ServeRequest(Connection& connection);
-  HttpResponse HandleRequest(Connection& connection, HttpRequest& request);
 
   HttpServerSettings m_settings;
   Handler m_handler;
   boost::asio::ip::tcp::acceptor m_acceptor;
-  std::list<Connection*> m_connections;
+  std::list<std::shared_ptr<HttpServerConnection>> m_connections;
   bool m_accepting = false;
   bool m_draining = false;
   bool m_stopping = false;
--- /dev/null
+++ b/src/runtime/http_server_connection.cc
@@ -0,0 +1,425 @@
+#include "runtime/http_server_connection.h"
+
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "core/error.h"
+#include "runtime/error_response.h"
+#include "runtime/fiber_scheduler.h"
+
+namespace foxtail {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+using boost::system::error_code;
+using RequestMessage = http::request<http::string_body>;
+
+// Most requests fit into one read.
+constexpr size_t kReadSize = 4096;  // bytes
+
+// Requests with more than one framing, a transfer coding other than "chunked"
+// alone, no Host field, or a repeated field that must be single are rejected,
+// so that no two hops can disagree on where a request ends.
+bool HasAmbiguousFraming(const RequestMessage& message) {
+  const auto codings = message.count(http::field::transfer_encoding);
+  const auto lengths = message.count(http::field::content_length);
+  const bool unsupported_coding =
+      codings > 0 && !boost::beast::iequals(
+                         message[http::field::transfer_encoding], "chunked");
+  return unsupported_coding || codings > 1 || (codings > 0 && lengths > 0) ||
+         lengths > 1 || message.count(http::field::host) != 1 ||
+         message.count(http::field::authorization) > 1;
+}
+
+HttpRequest ToRequest(RequestMessage&& message) {
+  HttpRequest request;
+  request.m_method = std::string(message.method_string());
+  request.m_target = std::string(message.target());
+  for (const auto& field : message) {
+    request.m_headers.Add(
+        std::string_view(field.name_string().data(),
+                         field.name_string().size()),
+        std::string_view(field.value().data(), field.value().size()));
+  }
+  request.m_body = std::move(message.body());
+  return request;
+}
+
+template <typename Message>
+void SetHead(Message& message, const HttpResponse& response, bool keep_alive) {
+  message.version(11);
+  message.result(static_cast<unsigned>(response.m_status));
+  for (const HttpHeader& field : response.m_headers.All()) {
+    message.insert(field.m_name, field.m_value);
+  }
+  message.keep_alive(keep_alive);
+}
+
+ErrorCode ErrorCodeOfReadFailure(const error_code& failure) {
+  if (failure == http::error::header_limit) {
+    return ErrorCode::kHeaderTooLarge;
+  }
+  if (failure == http::error::body_limit ||
+      failure == http::error::buffer_overflow) {
+    return ErrorCode::kRequestTooLarge;
+  }
+  return ErrorCode::kRequestMalformed;
+}
+
+bool ExpectsContinue(const RequestMessage& message) {
+  return beast::iequals(message[http::field::expect], "100-continue");
+}
+
+error_code WriteContinue(FiberStream& stream) {
+  http::response<http::empty_body> interim(http::status::continue_, 11);
+  error_code failure;
+  http::write(stream, interim, failure);
+  return failure;
+}
+
+bool IsProtocolFailure(const error_code& failure) {
+  static const auto& category =
+      http::make_error_code(http::error::bad_method).category();
+  return failure.category() == category &&
+         failure != http::error::end_of_stream &&
+         failure != http::error::partial_message;
+}
+
+// Safe methods of RFC 9110, 9.2.1. The kind of the route is not known here, and
+// no route makes these methods unsafe.
+bool IsSafeMethod(http::verb method) {
+  return method == http::verb::get || method == http::verb::head ||
+         method == http::verb::options || method == http::verb::trace;
+}
+
+error_code WriteWhole(FiberStream& stream,
+                      HttpResponse response,
+                      bool keep_alive) {
+  http::response<http::string_body> message;
+  SetHead(message, response, keep_alive);
+  message.body() = std::move(response.m_body);
+  message.prepare_payload();
+  error_code failure;
+  http::write(stream, message, failure);
+  return failure;
+}
+
+// Writes a body in pieces, each when the one before has been accepted by the
+// client's connection: a slow client slows the server down. `begin_piece` is
+// called before each piece. A body that breaks off ends without its last bytes
+// or its last chunk.
+error_code WriteInPieces(FiberStream& stream,
+                         const HttpResponse& response,
+                         bool keep_alive,
+                         const std::function<void()>& begin_piece) {
+  http::response<http::buffer_body> message;
+  SetHead(message, response, keep_alive);
+  if (response.m_body_length) {
+    message.content_length(*response.m_body_length);
+  } else {
+    message.chunked(true);
+  }
+  http::response_serializer<http::buffer_body> serializer(message);
+  error_code failure;
+  http::write_header(stream, serializer, failure);
+  std::string piece = response.m_body;
+  bool more = true;
+  while (!failure && more) {
+    begin_piece();
+    if (piece.empty()) {
+      response.m_body_stream->Read(piece);
+    }
+    more = !piece.empty();
+    message.body().data = more ? piece.data() : nullptr;
+    message.body().size = piece.size();
+    message.body().more = more;
+    http::write(stream, serializer, failure);
+    if (failure == http::error::need_buffer) {
+      failure = {};
+    }
+    piece.clear();
+  }
+  return failure;
+}
+
+}  // namespace
+
+HttpServerConnection::HttpServerConnection(tcp::socket socket,
+                                           const HttpServer& server,
+                                           std::function<void()> on_closed)
+    : m_server(server),
+      m_on_closed(std::move(on_closed)),
+      m_stream(std::move(socket)),
+      m_order(server.GetSettings().m_max_pipelined) {
+  m_stream.EnableImmediateWrites();
+}
+
+void HttpServerConnection::Start() {
+  StartReaderFiber();
+}
+
+void HttpServerConnection::CloseIfIdle() {
+  if (m_order.IsIdle() && !m_parsing && m_buffer.size() == 0) {
+    m_order.StopReading();
+    Close();
+  }
+}
+
+void HttpServerConnection::StartReaderFiber() {
+  m_has_reader = true;
+  ++m_fibers;
+  StartFiber([self = shared_from_this()] {
+    while (self->ServeNext()) {
+    }
+    if (--self->m_fibers == 0) {
+      self->Close();
+      self->m_on_closed();
+    }
+  });
+}
+
+// Reads a request, handles it and answers it in its turn. Returns whether the
+// calling fiber reads the next request too.
+bool HttpServerConnection::ServeNext() {
+  const HttpServerSettings& settings = m_server.GetSettings();
+  Incoming incoming;
+  // The idle timeout limits the wait for the first bytes, the read timeout the
+  // rest of the request.
+  const bool read = AwaitInput(Clock::now() + settings.m_idle_timeout) &&
+                    ReadRequest(incoming);
+  m_has_reader = false;
+  if (!read) {
+    m_order.StopReading();
+    return false;
+  }
+  ReadAhead();
+  if (AwaitTurn(incoming)) {
+    HttpResponse response =
+        incoming.m_malformed ? incoming.m_error : Handle(incoming);
+    Answer(incoming.m_ticket, std::move(response));
+  }
+  m_unanswered.erase(incoming.m_ticket);
+  const bool reads_next = !m_closed && !m_has_reader && m_order.CanRead() &&
+                          (m_order.IsIdle() || m_buffer.size() > 0);
+  m_has_reader = m_has_reader || reads_next;
+  return reads_next;
+}
+
+// Returns whether there is input to parse.
+bool HttpServerConnection::AwaitInput(TimePoint until) {
+  StartRead();
+  while (m_buffer.size() == 0 && m_reading && Clock::now() < until) {
+    m_input_received.WaitUntil(until);
+  }
+  return m_buffer.size() > 0 && !m_closed;
+}
+
+// Returns false if the connection ended or nothing more may be read.
+bool HttpServerConnection::ReadRequest(Incoming& incoming) {
+  const HttpServerSettings& settings = m_server.GetSettings();
+  Parser parser;
+  parser.header_limit(static_cast<uint32_t>(settings.m_header_limit));
+  parser.body_limit(settings.m_body_limit);
+  parser.eager(true);
+  m_buffer.max_size(settings.m_header_limit + kReadBufferLimit);
+  incoming.m_request.m_arrived_at = m_oldest_input_at;
+  m_parsing = true;
+  const error_code failure = Parse(parser);
+  m_parsing = false;
+  m_oldest_input_at = m_newest_input_at;
+  if ((failure && !IsProtocolFailure(failure)) || !m_order.CanRead()) {
+    return false;
+  }
+  OnRequestRead(parser, failure, incoming);
+  return true;
+}
+
+error_code HttpServerConnection::Parse(Parser& parser) {
+  const TimePoint until = Clock::now() + m_server.GetSettings().m_read_timeout;
+  bool continued = false;
+  while (true) {
+    error_code failure;
+    m_buffer.consume(parser.put(m_buffer.data(), failure));
+    if (failure && failure != http::error::need_more) {
+      return failure;
+    }
+    if (parser.is_done()) {
+      return {};
+    }
+    if (parser.is_header_done() && !continued &&
+        ExpectsContinue(parser.get())) {
+      continued = true;
+      m_stream.SetDeadline(until);
+      failure = WriteContinue(m_stream);
+      if (failure) {
+        return failure;
+      }
+    }
+    const size_t size_before = m_buffer.size();
+    StartRead();
+    while (m_buffer.size() == size_before && m_reading &&
+           Clock::now() < until) {
+      m_input_received.WaitUntil(until);
+    }
+    if (m_buffer.size() == size_before) {
+      return http::make_error_code(http::error::partial_message);
+    }
+  }
+}
+
+void HttpServerConnection::OnRequestRead(Parser& parser,
+                                         const error_code& failure,
+                                         Incoming& incoming) {
+  if (failure || HasAmbiguousFraming(parser.get())) {
+    incoming.m_malformed = true;
+    incoming.m_error =
+        ToErrorResponse(Error(failure ? ErrorCodeOfReadFailure(failure)
+                                      : ErrorCode::kRequestMalformed));
+    incoming.m_ticket = m_order.OnRead(true);
+    m_order.StopReading();
+    return;
+  }
+  incoming.m_ticket = m_order.OnRead(IsSafeMethod(parser.get().method()));
+  if (!parser.get().keep_alive()) {
+    m_order.StopReading();
+  }
+  const TimePoint arrived_at = incoming.m_request.m_arrived_at;
+  incoming.m_request = ToRequest(parser.release());
+  incoming.m_request.m_arrived_at = arrived_at;
+  incoming.m_request.m_cancellation = std::make_shared<Cancellation>();
+  m_unanswered[incoming.m_ticket] = incoming.m_request.m_cancellation;
+  if (m_read_failure) {
+    incoming.m_request.m_cancellation->Cancel();
+  }
+}
+
+// Lets another fiber read the next request if it has arrived already.
+void HttpServerConnection::ReadAhead() {
+  if (m_buffer.size() > 0 && m_order.CanRead()) {
+    StartReaderFiber();
+  } else {
+    StartRead();
+  }
+}
+
+// Returns false if the connection ended before the request could start.
+bool HttpServerConnection::AwaitTurn(const Incoming& incoming) {
+  while (!m_closed && !m_order.CanStart(incoming.m_ticket)) {
+    m_order_changed.WaitUntil(TimePoint::max());
+  }
+  return !m_closed;
+}
+
+HttpResponse HttpServerConnection::Handle(Incoming& incoming) {
+  HttpRequest& request = incoming.m_request;
+  // The read's completion is handled only after other fibers have run. If the
+  // request waited to be read, its client may have left long ago.
+  if (m_stream.HasEnded()) {
+    request.m_cancellation->Cancel();
+  }
+  HttpResponse response = HandleCatchingErrors(m_server.GetHandler(), request);
+  response.m_drop_connection =
+      response.m_drop_connection || request.m_cancellation->IsCancelled();
+  return response;
+}
+
+// Sends a response when all earlier ones have been sent.
+void HttpServerConnection::Answer(Ticket ticket, HttpResponse response) {
+  while (!m_closed && !m_order.IsNext(ticket)) {
+    m_order_changed.WaitUntil(TimePoint::max());
+  }
+  if (m_closed) {
+    return;
+  }
+  if (response.m_drop_connection) {
+    Close();
+    return;
+  }
+  if (response.m_close_connection || m_server.IsClosingConnections()) {
+    m_order.StopReading();
+  }
+  const bool keep_alive = !m_order.IsLast(ticket);
+  const error_code failure = Write(std::move(response), keep_alive);
+  if (failure || !keep_alive) {
+    Close();
+    return;
+  }
+  m_order.OnAnswered(ticket);
+  m_order_changed.Notify();
+}
+
+error_code HttpServerConnection::Write(HttpResponse response, bool keep_alive) {
+  const auto begin_piece = [this] {
+    m_stream.SetDeadline(Clock::now() + m_server.GetSettings().m_read_timeout);
+  };
+  begin_piece();
+  if (!response.m_body_stream) {
+    return WriteWhole(m_stream, std::move(response), keep_alive);
+  }
+  try {
+    return WriteInPieces(m_stream, response, keep_alive, begin_piece);
+  } catch (const Error&) {
+    // The source of the body has logged why it broke off. The client sees that
+    // from the connection, which ends early.
+    m_stream.Abort();
+    return http::make_error_code(http::error::partial_message);
+  }
+}
+
+void HttpServerConnection::StartRead() {
+  if (m_reading || m_read_failure || m_closed ||
+      m_buffer.size() + kReadSize > m_buffer.max_size()) {
+    return;
+  }
+  m_reading = true;
+  m_stream.GetSocket().async_read_some(
+      m_buffer.prepare(kReadSize),
+      [self = shared_from_this()](const error_code& failure, size_t bytes) {
+        self->OnInput(failure, bytes);
+      });
+}
+
+void HttpServerConnection::OnInput(const error_code& failure, size_t bytes) {
+  m_reading = false;
+  m_read_failure = failure;
+  m_newest_input_at = Clock::now();
+  if (m_buffer.size() == 0) {
+    m_oldest_input_at = m_newest_input_at;
+  }
+  m_buffer.commit(bytes);
+  m_input_received.Notify();
+  if (failure) {
+    CancelAll();
+  } else if (!m_has_reader && !m_closed) {
+    ReadAhead();
+  }
+}
+
+void HttpServerConnection::CancelAll() {
+  // A cancelled request may end at once, so its entry may be erased meanwhile.
+  const auto unanswered = m_unanswered;
+  for (const auto& [ticket, cancellation] : unanswered) {
+    cancellation->Cancel();
+  }
+}
+
+void HttpServerConnection::Close() {
+  if (m_closed) {
+    return;
+  }
+  m_closed = true;
+  m_order.StopReading();
+  error_code ignored;
+  m_stream.GetSocket().shutdown(tcp::socket::shutdown_both, ignored);
+  m_stream.GetSocket().close(ignored);
+  CancelAll();
+  m_order_changed.Notify();
+  m_input_received.Notify();
+}
+
+}  // namespace foxtail
