Do not read a connection's input into the buffer that requests are parsed from

Cause: a read of the socket was pending into the buffer while another fiber parsed earlier input from it. Consuming the last byte resets the buffer, so the bytes of the pending read were committed at another place, and the next request was parsed from stale bytes.

Change: the connection waits until the socket is readable and reads then.

--- a/src/runtime/http_server_connection.cc
+++ b/src/runtime/http_server_connection.cc
@@ -371,21 +371,36 @@
   }
 }
 
+// Waits for input instead of reading into the buffer, which other requests are
+// parsed from meanwhile.
 void HttpServerConnection::StartRead() {
   if (m_reading || m_read_failure || m_closed ||
       m_buffer.size() + kReadSize > m_buffer.max_size()) {
     return;
   }
   m_reading = true;
-  m_stream.GetSocket().async_read_some(
-      m_buffer.prepare(kReadSize),
-      [self = shared_from_this()](const error_code& failure, size_t bytes) {
-        self->OnInput(failure, bytes);
+  m_stream.GetSocket().async_wait(
+      tcp::socket::wait_read,
+      [self = shared_from_this()](const error_code& failure) {
+        self->OnReadable(failure);
       });
 }
 
-void HttpServerConnection::OnInput(const error_code& failure, size_t bytes) {
+void HttpServerConnection::OnReadable(error_code failure) {
   m_reading = false;
+  size_t bytes = 0;
+  if (!failure) {
+    bytes = m_stream.GetSocket().read_some(m_buffer.prepare(kReadSize),
+                                           failure);
+  }
+  if (failure == asio::error::would_block) {
+    StartRead();
+    return;
+  }
+  OnInput(failure, bytes);
+}
+
+void HttpServerConnection::OnInput(const error_code& failure, size_t bytes) {
   m_read_failure = failure;
   m_newest_input_at = Clock::now();
   if (m_buffer.size() == 0) {
--- a/src/runtime/http_server_connection.h
+++ b/src/runtime/http_server_connection.h
@@ -63,6 +63,7 @@
   void Answer(Ticket ticket, HttpResponse response);
   boost::system::error_code Write(HttpResponse response, bool keep_alive);
   void StartRead();
+  void OnReadable(boost::system::error_code failure);
   void OnInput(const boost::system::error_code& failure, size_t bytes);
   void CancelAll();
   void Close();
--- a/tests/runtime/http_server_test.cc
+++ b/tests/runtime/http_server_test.cc
@@ -183,6 +183,23 @@
   EXPECT_TRUE(AwaitUntil([&] { return m_cancelled == 2; }));
 }
 
+// The next request's bytes went to a stale place of the buffer, so it was
+// parsed together with other bytes.
+TEST_F(PipelineTest, RequestsThatWaitInTheBufferLeaveTheNextOnesIntact) {
+  for (int i = 0; i < 3; ++i) {
+    const std::string first = "/first" + std::to_string(i);
+    const std::string second = "/second" + std::to_string(i);
+    Send("POST", first);
+    ASSERT_TRUE(AwaitUntil([&] { return CountStarted() == 2U * i + 1; }));
+    Send("POST", second);
+    AwaitUntil([] { return false; }, std::chrono::milliseconds(30));
+    Finish(first);
+    Finish(second);
+    ASSERT_NE(Receive(second).find(second), std::string::npos);
+    EXPECT_EQ(m_started.back(), second);
+  }
+}
+
 // During a planned stop all that was read is answered, and only the last
 // response announces the end of the connection.
 TEST_F(PipelineTest, StopAnswersAllRequestsThatWereRead) {
