Heed the pause a server asks for, and its mark that it is leaving

Cause: servers now say in their answers that they are leaving, and may ask with 503 and Retry-After for a pause. Neither was read: a leaving server was sent to until its registration said so, an overloaded one at once.

SendSystem sends nothing to a server during its pause; a request whose servers all pause beyond its deadline is refused at once, with the end of the pause as its Retry-After. A leaving server gets no request that is not bound to it by key, and those of its keys for 0.9 s while they move; the mark holds until the server starts again, in a table row that outlives the usual expiry. A member tells the leader at once (LeavingServersNotice), which moves the keys, so the other hosts learn of it sooner than by the store.

--- a/src/gateway/cluster_codec.cc
+++ b/src/gateway/cluster_codec.cc
@@ -83,6 +83,16 @@
   archive(m.m_address, m.m_epoch, m.m_leader_lease_version);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, LeavingServer& m) {  // NOLINT
+  archive(m.m_id, m.m_incarnation);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, LeavingServersNotice& m) {  // NOLINT
+  archive(m.m_servers);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, ReportResponse& m) {  // NOLINT
   archive(m.m_address, m.m_epoch, m.m_sequence, m.m_report_sent_at,
@@ -98,6 +108,7 @@
 constexpr uint8_t kReportResponseTag = 2;
 constexpr uint8_t kRelayedRowsTag = 3;
 constexpr uint8_t kLeaderAnnouncementTag = 4;
+constexpr uint8_t kLeavingServersTag = 5;
 
 // An encoded record or message ends with a hash of all bytes before it.
 constexpr size_t kHashBytes = sizeof(uint64_t);
@@ -156,6 +167,9 @@
   if (const auto* announcement = std::get_if<LeaderAnnouncement>(&message)) {
     return Encode(kLeaderAnnouncementTag, *announcement);
   }
+  if (const auto* leaving = std::get_if<LeavingServersNotice>(&message)) {
+    return Encode(kLeavingServersTag, *leaving);
+  }
   return Encode(kReportResponseTag, std::get<ReportResponse>(message));
 }
 
@@ -184,6 +198,8 @@
       archive(message.emplace<RelayedRows>());
     } else if (tag == kLeaderAnnouncementTag) {
       archive(message.emplace<LeaderAnnouncement>());
+    } else if (tag == kLeavingServersTag) {
+      archive(message.emplace<LeavingServersNotice>());
     } else {
       throw Error(ErrorCode::kMessageMalformed, "unknown kind");
     }
--- a/src/gateway/cluster_codec.h
+++ b/src/gateway/cluster_codec.h
@@ -8,8 +8,11 @@
 namespace foxtail {
 
 /// A datagram between gateways.
-using ClusterMessage =
-    std::variant<MemberReport, ReportResponse, RelayedRows, LeaderAnnouncement>;
+using ClusterMessage = std::variant<MemberReport,
+                                    ReportResponse,
+                                    RelayedRows,
+                                    LeaderAnnouncement,
+                                    LeavingServersNotice>;
 
 /// Encode and decode records and messages in a compact binary format with a
 /// checksum. The decoders throw `Error(kMessageMalformed)`.
--- a/src/gateway/cluster_records.h
+++ b/src/gateway/cluster_records.h
@@ -133,6 +133,17 @@
   std::vector<ServerSpeed> m_speeds;
 };
 
+/// A backend server that has told a member that it is leaving.
+struct LeavingServer {
+  std::string m_id;
+  int64_t m_incarnation = 0;
+};
+
+/// Datagram from a member to the leader: servers whose keys must move.
+struct LeavingServersNotice {
+  std::vector<LeavingServer> m_servers;
+};
+
 /// Datagram from the leader to each member: changed rows of a watched table.
 struct RelayedRows {
   uint64_t m_epoch = 0;
--- a/src/gateway/control_thread.cc
+++ b/src/gateway/control_thread.cc
@@ -95,6 +95,15 @@
   });
 }
 
+void ControlThread::ReportLeavingServers(std::vector<LeavingServer> servers) {
+  m_mailbox.Post([this, servers = std::move(servers)]() mutable {
+    MemberSystem::SendLeavingServers(m_tables, {std::move(servers)},
+                                     ReadClocks());
+    Flush();
+    Wake();
+  });
+}
+
 void ControlThread::Run() {
   InstallFiberScheduler();
   m_store = m_factories.m_make_store();
@@ -324,6 +333,13 @@
   Flush();
 }
 
+void ControlThread::Receive(const LeavingServersNotice& notice,
+                            const Now& now) {
+  MemberSystem::OnLeavingServers(m_tables, notice, now);
+  Flush();
+  Wake();
+}
+
 void ControlThread::Receive(RelayedRows& relayed, const Now& now) {
   const uint32_t kind = relayed.m_kind;
   const auto rows =
--- a/src/gateway/control_thread.h
+++ b/src/gateway/control_thread.h
@@ -66,6 +66,9 @@
   /// called on any thread.
   void Report(MemberReport report);
 
+  /// Tells the leader which servers are leaving. May be called on any thread.
+  void ReportLeavingServers(std::vector<LeavingServer> servers);
+
  private:
   using ApplyFunction = void (DirectorySystem::*)(GatewayTables&,
                                                   const std::vector<StoredRow>&,
@@ -96,6 +99,7 @@
   void Receive(const ReportResponse& response, const Now& now);
   void Receive(const LeaderAnnouncement& announcement, const Now& now);
   void Receive(RelayedRows& relayed, const Now& now);
+  void Receive(const LeavingServersNotice& notice, const Now& now);
   void ProbeLoop();
   void UpdateReachability(WatchedTable& table,
                           bool succeeded,
--- a/src/gateway/directory_system.cc
+++ b/src/gateway/directory_system.cc
@@ -273,6 +273,7 @@
     server->m_consecutive_failures = 0;
     server->m_ended = false;
   }
+  server->m_leaving = server->m_leaving && !restarted;
   if (entry.m_draining && !server->m_entry.m_draining) {
     server->m_draining_since = ServerChangeTime(tables, now);
     tables.m_events.push_back(
--- a/src/gateway/front_end.h
+++ b/src/gateway/front_end.h
@@ -59,6 +59,13 @@
 struct ServerResponse {
   ResponseKind m_kind = ResponseKind::kInvalid;
   std::optional<LoadReport> m_load;
+
+  /// The server is about to shut down and wants no further requests.
+  bool m_leaving = false;
+
+  /// For how long the server, which is overloaded, wants no further request
+  /// from this host; 0 if it does not say.
+  Duration m_pause{};
 };
 
 /// Decodes clients' requests and servers' responses, and encodes what is sent
--- a/src/gateway/gateway_tables.cc
+++ b/src/gateway/gateway_tables.cc
@@ -71,7 +71,7 @@
 
 bool IsEligible(const ServerRow& server) {
   return server.m_registered && !server.m_entry.m_draining &&
-         !server.m_evacuated;
+         !server.m_evacuated && !server.m_leaving;
 }
 
 }  // namespace foxtail
--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -68,6 +68,10 @@
   TimePoint m_draining_since;
   bool m_evacuated = false;
 
+  /// The server has told a member that it is leaving, which its registration
+  /// may not say yet. Known to the leader only.
+  bool m_leaving = false;
+
   /// End of the server's cold phase.
   TimePoint m_cold_until;
 
--- a/src/gateway/gateway_traffic_thread.cc
+++ b/src/gateway/gateway_traffic_thread.cc
@@ -60,6 +60,9 @@
     m_report_schedule.OnTokensNeeded();
     m_report_due.Notify();
   });
+  m_handler->SetOnServerLeaving([this] {
+    m_control->ReportLeavingServers(m_handler->TakeLeavingServers());
+  });
   StartFiber([this] { ReportLoop(); });
   StartFiber([this] { SummaryLoop(); });
   m_mailbox.Loop();
--- a/src/gateway/member_system.cc
+++ b/src/gateway/member_system.cc
@@ -313,6 +313,41 @@
   return response;
 }
 
+void MemberSystem::SendLeavingServers(GatewayTables& tables,
+                                      LeavingServersNotice notice,
+                                      const Now& now) {
+  if (tables.m_leader_lease.m_phase == LeaderLeasePhase::kLeader) {
+    OnLeavingServers(tables, notice, now);
+  } else if (!tables.m_leader_lease.m_record.m_address.empty()) {
+    tables.m_outbox.emplace_back(SendDatagramCommand{
+        {tables.m_leader_lease.m_record.m_address}, std::move(notice)});
+  }
+}
+
+void MemberSystem::OnLeavingServers(GatewayTables& tables,
+                                    const LeavingServersNotice& notice,
+                                    const Now& now) {
+  if (!tables.IsLeading(now)) {
+    return;
+  }
+  for (const LeavingServer& leaving : notice.m_servers) {
+    ServerRow* server = FindServer(tables, leaving.m_id);
+    if (!server || server->m_leaving ||
+        server->m_entry.m_incarnation != leaving.m_incarnation) {
+      continue;
+    }
+    server->m_leaving = true;
+    if (!server->m_entry.m_draining) {
+      server->m_draining_since = now.m_steady;
+    }
+    tables.m_events.push_back(
+        {EventNumber::kServerDraining,
+         {{"cell", server->m_entry.m_service}, {"server", leaving.m_id}}});
+    tables.m_snapshot_due = true;
+    tables.WakeAt(now.m_steady);
+  }
+}
+
 void MemberSystem::OnReportResponse(GatewayTables& tables,
                                     const ReportResponse& response,
                                     const Now& now) {
--- a/src/gateway/member_system.h
+++ b/src/gateway/member_system.h
@@ -27,6 +27,16 @@
                                                 const MemberReport& report,
                                                 const Now& now);
 
+  /// Tells the leader which servers are leaving.
+  static void SendLeavingServers(GatewayTables& tables,
+                                 LeavingServersNotice notice,
+                                 const Now& now);
+
+  /// Moves the keys of leaving servers, at the leader.
+  static void OnLeavingServers(GatewayTables& tables,
+                               const LeavingServersNotice& notice,
+                               const Now& now);
+
   /// Handles the leader's response to a report.
   static void OnReportResponse(GatewayTables& tables,
                                const ReportResponse& response,
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include "core/error.h"
 #include "gateway/tracked_body_stream.h"
@@ -96,6 +97,10 @@
   /// Backend server of the last attempt, for logs.
   std::string m_last_server;
 
+  /// Set if the request is refused because its servers have asked for a pause:
+  /// when the first of them takes requests again.
+  std::optional<TimePoint> m_servers_paused_until;
+
   bool ClientDisconnected() const {
     return m_cancellation && m_cancellation->IsCancelled();
   }
@@ -172,10 +177,15 @@
         retry_after = row.m_delay;
       }
     }
-    // The retry delay is at most a third of the time that the client has left.
-    const Duration left = context.m_deadline - Clock::now();
-    return m_front_end.BuildErrorResponse(error,
-                                          std::min(retry_after, left / 3));
+    // The retry delay is at most a third of the time that the client has left,
+    // unless it is known that no server takes the request before.
+    const TimePoint now = Clock::now();
+    retry_after = std::min(retry_after, (context.m_deadline - now) / 3);
+    if (context.m_servers_paused_until && !context.m_maybe_ran) {
+      retry_after =
+          std::max(retry_after, *context.m_servers_paused_until - now);
+    }
+    return m_front_end.BuildErrorResponse(error, retry_after);
   }
 }
 
@@ -330,11 +340,16 @@
     if (FindTarget(context)) {
       return;
     }
+    const auto pause_end = FindPauseEndOfTargets(context);
+    if (pause_end) {
+      RefuseDuringPause(context, *pause_end);
+    }
     if (Clock::now() >= wait_until) {
       ThrowFailure(context, ErrorCode::kPartitionNotServed,
                    ErrorCode::kServerLost);
     }
-    m_snapshot_changed.WaitUntil(wait_until);
+    m_snapshot_changed.WaitUntil(
+        std::min(wait_until, pause_end.value_or(wait_until)));
   }
 }
 
@@ -359,6 +374,28 @@
   return server;
 }
 
+// Returns when the first of the servers that are asking for a pause takes the
+// request, or nothing if none is.
+std::optional<TimePoint> RequestHandler::FindPauseEndOfTargets(
+    const RequestContext& context) {
+  const ServiceEndpoints* endpoints =
+      context.m_snapshot->FindEndpoints(context.m_service);
+  if (!endpoints || context.m_sharded) {
+    return std::nullopt;
+  }
+  return FindPauseEnd(*endpoints, m_send_system, Clock::now());
+}
+
+// Refuses a request that no server takes before its deadline.
+void RequestHandler::RefuseDuringPause(RequestContext& context,
+                                       TimePoint pause_end) {
+  if (pause_end + kMinAttemptTime >= context.m_deadline) {
+    context.m_servers_paused_until = pause_end;
+    ThrowFailure(context, ErrorCode::kServerSaturated,
+                 ErrorCode::kDeadlineExceeded);
+  }
+}
+
 const RoutedServer* RequestHandler::FindOwner(RequestContext& context) {
   const ServiceEndpoints* endpoints =
       context.m_snapshot->FindEndpoints(context.m_service);
@@ -368,8 +405,15 @@
     return nullptr;
   }
   const auto server = endpoints->m_servers.find(range->m_server);
+  const TimePoint now = Clock::now();
   if (server == endpoints->m_servers.end() ||
-      Clock::now() >= server->second.m_send_until) {
+      now >= server->second.m_send_until) {
+    return nullptr;
+  }
+  // The server is asked on while its keys move, then no more.
+  const auto leaving_since = m_send_system.LeavingSince(
+      m_send_system.GetOrInsert(server->second, now), server->second);
+  if (leaving_since && now >= *leaving_since + kDrainGracePeriod) {
     return nullptr;
   }
   return &server->second;
@@ -383,6 +427,9 @@
 bool RequestHandler::WaitForTurn(RequestContext& context,
                                  const RoutedServer& server) {
   const SendServerId id = m_send_system.GetOrInsert(server, Clock::now());
+  if (m_send_system.PauseEnd(id) > Clock::now()) {
+    RefuseDuringPause(context, m_send_system.PauseEnd(id));
+  }
   const Duration estimated =
       std::max<Duration>(m_send_system.EstimateTotalTime(
                              id, server, context.m_priority, Clock::now()),
@@ -492,6 +539,13 @@
   m_send_system.OnCompleted(id, server_response.m_load,
                             server_response.m_kind == ResponseKind::kComplete,
                             latency, now);
+  if (server_response.m_pause > Duration(0)) {
+    m_send_system.OnPauseRequested(id, now + server_response.m_pause);
+  }
+  if (server_response.m_leaving && m_send_system.OnLeaving(id, server, now)) {
+    m_new_leaving.push_back({server.m_id, server.m_incarnation});
+    m_on_server_leaving();
+  }
   switch (server_response.m_kind) {
     case ResponseKind::kComplete:
       response = std::move(result.m_response);
@@ -566,6 +620,10 @@
   m_request_log.LogAdmissions(counts);
 }
 
+std::vector<LeavingServer> RequestHandler::TakeLeavingServers() {
+  return std::exchange(m_new_leaving, {});
+}
+
 MemberReport RequestHandler::CollectReport(TimePoint now, bool with_loads) {
   MemberReport report;
   report.m_members =
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "core/metrics.h"
 #include "gateway/front_end.h"
@@ -56,6 +58,14 @@
 
   RateLimiter& GetRateLimiter() { return m_rate_limiter; }
 
+  /// Sets the callback that runs when a server has told that it is leaving.
+  void SetOnServerLeaving(std::function<void()> on_server_leaving) {
+    m_on_server_leaving = std::move(on_server_leaving);
+  }
+
+  /// Returns the servers that have told so since the last call.
+  std::vector<LeavingServer> TakeLeavingServers();
+
   /// Erases the send state of servers that were not used recently.
   void Expire(TimePoint now) { m_send_system.Expire(now); }
 
@@ -80,6 +90,8 @@
                                RequestContext& context);
   const RoutedServer* FindTarget(RequestContext& context);
   const RoutedServer* FindOwner(RequestContext& context);
+  std::optional<TimePoint> FindPauseEndOfTargets(const RequestContext& context);
+  void RefuseDuringPause(RequestContext& context, TimePoint pause_end);
   void WaitForTarget(RequestContext& context);
   bool WaitForTurn(RequestContext& context, const RoutedServer& server);
   AttemptOutcome SendOnce(const HttpRequest& request,
@@ -121,6 +133,8 @@
   FiberEvent m_snapshot_changed;
   std::map<std::string, std::map<uint16_t, uint16_t>> m_slice_counts;
   uint64_t m_last_ticket = 0;
+  std::vector<LeavingServer> m_new_leaving;
+  std::function<void()> m_on_server_leaving = [] {};
 };
 
 }  // namespace foxtail
--- a/src/gateway/routing_snapshot.cc
+++ b/src/gateway/routing_snapshot.cc
@@ -5,15 +5,11 @@
 namespace foxtail {
 namespace {
 
-// How long a draining, evacuated or deregistered owner still receives requests
-// for its keys. Moving the keys takes milliseconds, and the limit is well below
-// the time within which new work must cease.
-constexpr std::chrono::milliseconds kDrainGracePeriod{900};
-
 RoutedServer BuildServer(const ServerRow& server) {
   const BackendServerEntry& entry = server.m_entry;
   RoutedServer routed;
   routed.m_id = entry.m_id;
+  routed.m_incarnation = entry.m_incarnation;
   routed.m_address = ParseAddress(entry.m_address);
   routed.m_data_centre = entry.m_data_centre;
   routed.m_slots = entry.m_slots;
--- a/src/gateway/routing_snapshot.h
+++ b/src/gateway/routing_snapshot.h
@@ -11,9 +11,15 @@
 
 namespace foxtail {
 
+/// How long a draining, evacuated or deregistered owner still receives requests
+/// for its keys. Moving the keys takes milliseconds, and the limit is well
+/// below the time within which new work must cease.
+inline constexpr std::chrono::milliseconds kDrainGracePeriod{900};
+
 /// A backend server as the traffic threads see it.
 struct RoutedServer {
   std::string m_id;
+  int64_t m_incarnation = 0;
   Address m_address;
   std::string m_data_centre;
   uint32_t m_slots = 1;
--- a/src/gateway/send_system.cc
+++ b/src/gateway/send_system.cc
@@ -33,6 +33,10 @@
 // Rows of servers that were not used for this long are erased.
 constexpr std::chrono::seconds kExpireAfter{20};
 
+// A leaving server is gone by then, or has started again as another
+// incarnation.
+constexpr std::chrono::minutes kForgetLeavingAfter{10};
+
 double DecayFactor(Duration age) {
   return std::exp2(-ToSeconds(age) / ToSeconds(kLoadHalfLife));
 }
@@ -80,8 +84,10 @@
   const double rounds = ahead / row.m_window->Size();
   const Duration queue = FromSeconds(row.m_latency_seconds * rounds);
   const bool cold = now < server.m_cold_until && row.m_next_cold_send_at > now;
+  const TimePoint sendable_at =
+      std::max(cold ? row.m_next_cold_send_at : now, row.m_paused_until);
   return queue + EstimateServiceTime(id) +
-         (cold ? row.m_next_cold_send_at - now : Duration(0));
+         std::max(Duration(0), sendable_at - now);
 }
 
 Duration SendSystem::EstimateServiceTime(SendServerId id) const {
@@ -124,8 +130,10 @@
       row.m_in_flight >= std::max(1.0, std::floor(row.m_window->Size()))) {
     return false;
   }
-  if (now < row.m_next_send_at) {
-    retry_at = row.m_next_send_at;
+  const TimePoint sendable_at =
+      std::max(row.m_next_send_at, row.m_paused_until);
+  if (now < sendable_at) {
+    retry_at = sendable_at;
     return false;
   }
   if (now < server.m_cold_until && now < row.m_next_cold_send_at) {
@@ -184,6 +192,35 @@
   m_servers.Get(id).m_window->OnRefusal();
 }
 
+void SendSystem::OnPauseRequested(SendServerId id, TimePoint until) {
+  SendServerRow& row = m_servers.Get(id);
+  row.m_paused_until = std::max(row.m_paused_until, until);
+}
+
+TimePoint SendSystem::PauseEnd(SendServerId id) const {
+  return m_servers.Get(id).m_paused_until;
+}
+
+bool SendSystem::OnLeaving(SendServerId id,
+                           const RoutedServer& server,
+                           TimePoint now) {
+  if (LeavingSince(id, server)) {
+    return false;
+  }
+  SendServerRow& row = m_servers.Get(id);
+  row.m_leaving_since = now;
+  row.m_leaving_incarnation = server.m_incarnation;
+  return true;
+}
+
+std::optional<TimePoint> SendSystem::LeavingSince(
+    SendServerId id,
+    const RoutedServer& server) const {
+  const SendServerRow& row = m_servers.Get(id);
+  return row.m_leaving_incarnation == server.m_incarnation ? row.m_leaving_since
+                                                           : std::nullopt;
+}
+
 void SendSystem::OnUnreachable(SendServerId id, TimePoint now) {
   m_servers.Get(id).m_unreachable_until = now + kUnreachableBackoff;
 }
@@ -211,8 +248,10 @@
 
 void SendSystem::Expire(TimePoint now) {
   m_servers.ForEach([&](SendServerId id, const SendServerRow& row) {
-    if (row.m_in_flight == 0 && row.m_queue.empty() &&
-        now - row.m_last_used_at > kExpireAfter) {
+    const bool is_leaving =
+        row.m_leaving_since && now - *row.m_leaving_since < kForgetLeavingAfter;
+    if (row.m_in_flight == 0 && row.m_queue.empty() && !is_leaving &&
+        now >= row.m_paused_until && now - row.m_last_used_at > kExpireAfter) {
       m_by_id.erase(row.m_id);
       m_servers.Erase(id);
     }
@@ -234,6 +273,21 @@
   return FromSeconds(static_cast<double>(members) / cold_rate);
 }
 
+std::optional<TimePoint> FindPauseEnd(const ServiceEndpoints& endpoints,
+                                      SendSystem& system,
+                                      TimePoint now) {
+  std::optional<TimePoint> first;
+  for (const auto& [id, server] : endpoints.m_servers) {
+    const SendServerId row_id = system.GetOrInsert(server, now);
+    const TimePoint end = system.PauseEnd(row_id);
+    if (server.m_eligible && !system.LeavingSince(row_id, server) &&
+        end > now) {
+      first = std::min(first.value_or(end), end);
+    }
+  }
+  return first;
+}
+
 const RoutedServer* ChooseServer(const ServiceEndpoints& endpoints,
                                  const std::string& data_centre,
                                  const std::set<std::string>& tried_servers,
@@ -246,6 +300,9 @@
       continue;
     }
     const SendServerId row_id = system.GetOrInsert(server, now);
+    if (now < system.PauseEnd(row_id) || system.LeavingSince(row_id, server)) {
+      continue;
+    }
     double load = system.GetRelativeLoad(row_id, server, now);
     load += server.m_data_centre == data_centre ? 0 : kRemoteLoadPenalty;
     load += now < server.m_cold_until ? 1 : 0;
--- a/src/gateway/send_system.h
+++ b/src/gateway/send_system.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -42,6 +43,14 @@
   /// time.
   TimePoint m_unreachable_until;
 
+  /// An overloaded server wants no request before this time.
+  TimePoint m_paused_until;
+
+  /// When a response first told that the server is leaving, and the incarnation
+  /// that told so; unset if none did.
+  std::optional<TimePoint> m_leaving_since;
+  int64_t m_leaving_incarnation = 0;
+
   /// Earliest time of the next request while the server is cold.
   TimePoint m_next_cold_send_at;
 
@@ -112,6 +121,20 @@
   /// Records that the server refused a request because it was full.
   void OnRefused(SendServerId id);
 
+  /// Records that an overloaded server wants no request until a time.
+  void OnPauseRequested(SendServerId id, TimePoint until);
+
+  /// Returns when the server takes requests again; in the past if it does now.
+  TimePoint PauseEnd(SendServerId id) const;
+
+  /// Records that a response told that the server is leaving. Returns whether
+  /// that is news.
+  bool OnLeaving(SendServerId id, const RoutedServer& server, TimePoint now);
+
+  /// Returns since when the server has been known to leave, or nothing.
+  std::optional<TimePoint> LeavingSince(SendServerId id,
+                                        const RoutedServer& server) const;
+
   /// Records that no connection to the server could be made.
   void OnUnreachable(SendServerId id, TimePoint now);
 
@@ -142,9 +165,16 @@
 /// `cold_rate` requests a second. 0 for a rate of 0, which means no limit.
 Duration ColdSendInterval(double cold_rate, size_t members);
 
+/// Returns when the first of the eligible servers that have asked for a pause
+/// takes requests again, or nothing if there is none.
+std::optional<TimePoint> FindPauseEnd(const ServiceEndpoints& endpoints,
+                                      SendSystem& system,
+                                      TimePoint now);
+
 /// Chooses the least loaded eligible server of a service without shard keys,
-/// with a preference for `data_centre`. Skips `tried_servers`. Returns null if
-/// no server is left.
+/// with a preference for `data_centre`. Skips `tried_servers` and servers
+/// that are leaving or have asked for a pause. Returns null if no server is
+/// left.
 const RoutedServer* ChooseServer(const ServiceEndpoints& endpoints,
                                  const std::string& data_centre,
                                  const std::set<std::string>& tried_servers,
--- a/src/runtime/http_server_connection.cc
+++ b/src/runtime/http_server_connection.cc
@@ -390,8 +390,8 @@
   m_reading = false;
   size_t bytes = 0;
   if (!failure) {
-    bytes = m_stream.GetSocket().read_some(m_buffer.prepare(kReadSize),
-                                           failure);
+    bytes =
+        m_stream.GetSocket().read_some(m_buffer.prepare(kReadSize), failure);
   }
   if (failure == asio::error::would_block) {
     StartRead();
--- a/tests/gateway/ownership_test.cc
+++ b/tests/gateway/ownership_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "gateway/member_system.h"
 #include "support/gateway_world.h"
 
 namespace foxtail {
@@ -115,6 +116,30 @@
   EXPECT_EQ(world.m_double_grants, 0U);
 }
 
+// A server may say in its responses that it is leaving, and never in its
+// registration.
+TEST(GatewayOwnershipTest, ServerThatToldAMemberThatItIsLeavingIsEmptied) {
+  GatewayWorld world(3, 6);
+  world.Run(seconds(3));
+  const size_t member = (world.Leader() + 1) % world.m_hosts.size();
+  const auto tell = [&world](size_t host, int64_t incarnation) {
+    GatewayTables& tables = world.m_hosts[host].m_tables;
+    const ServerId id = tables.m_servers_by_id.begin()->second;
+    MemberSystem::SendLeavingServers(
+        tables, {{{tables.m_servers.Get(id).m_entry.m_id, incarnation}}},
+        {world.m_now, WallTime(), BootTime(world.m_now.time_since_epoch())});
+  };
+  // A notice about an earlier start of the server changes nothing.
+  tell(member, 0);
+  world.Run(milliseconds(900));
+  EXPECT_GT(world.CountGrantedKeysOf(0), 0U);
+  tell(member, 1);
+  world.Run(milliseconds(900));
+  EXPECT_EQ(world.CountGrantedKeysOf(0), 0U);
+  EXPECT_EQ(world.CountGrantedKeys(), kSampledKeys);
+  EXPECT_EQ(world.m_double_grants, 0U);
+}
+
 TEST(GatewayOwnershipTest, EvacuatedDataCentreIsEmptiedAndUsedAgain) {
   GatewayWorld world(3, 6);
   world.Run(seconds(3));
--- a/tests/gateway/send_system_test.cc
+++ b/tests/gateway/send_system_test.cc
@@ -123,5 +123,79 @@
   EXPECT_EQ(counts["b"], 2);
 }
 
+// An overloaded server that asks for a pause was asked again at once.
+TEST(SendSystemTest, NothingIsSentDuringAPause) {
+  SendSystem system;
+  const RoutedServer server = MakeServer("s");
+  const SendServerId id = system.GetOrInsert(server, kNow);
+  system.OnPauseRequested(id, kNow + seconds(2));
+  system.OnPauseRequested(id, kNow + seconds(1));
+  system.Enqueue(id, {0, 1});
+  TimePoint retry_at;
+  EXPECT_FALSE(system.CanSend(id, server, {0, 1}, kNow, retry_at));
+  EXPECT_EQ(retry_at, kNow + seconds(2));
+  EXPECT_GE(system.EstimateTotalTime(id, server, 0, kNow), seconds(2));
+  EXPECT_TRUE(system.CanSend(id, server, {0, 1}, kNow + seconds(2), retry_at));
+}
+
+TEST(SendSystemTest, APauseOutlastsTheRowsExpiry) {
+  SendSystem system;
+  const RoutedServer server = MakeServer("s");
+  const SendServerId id = system.GetOrInsert(server, kNow);
+  system.OnPauseRequested(id, kNow + seconds(30));
+  system.Expire(kNow + seconds(25));
+  EXPECT_EQ(system.PauseEnd(system.GetOrInsert(server, kNow + seconds(25))),
+            kNow + seconds(30));
+}
+
+class PausedServersTest : public testing::Test {
+ protected:
+  PausedServersTest() {
+    for (const char* id : {"a", "b"}) {
+      m_endpoints.m_servers[id] = MakeServer(id);
+    }
+  }
+
+  SendServerId Row(const char* id) {
+    return m_system.GetOrInsert(m_endpoints.m_servers.at(id), kNow);
+  }
+
+  const RoutedServer* Choose() {
+    return ChooseServer(m_endpoints, "dc-0", {}, m_system, kNow);
+  }
+
+  ServiceEndpoints m_endpoints;
+  SendSystem m_system;
+};
+
+TEST_F(PausedServersTest, AnotherServerIsChosenDuringAPause) {
+  m_system.OnPauseRequested(Row("a"), kNow + seconds(1));
+  ASSERT_NE(Choose(), nullptr);
+  EXPECT_EQ(Choose()->m_id, "b");
+}
+
+// All servers ask for a pause: the requests are refused until the first ends.
+TEST_F(PausedServersTest, NoServerIsChosenWhileAllPause) {
+  EXPECT_FALSE(FindPauseEnd(m_endpoints, m_system, kNow));
+  m_system.OnPauseRequested(Row("a"), kNow + seconds(2));
+  m_system.OnPauseRequested(Row("b"), kNow + seconds(1));
+  EXPECT_EQ(Choose(), nullptr);
+  EXPECT_EQ(FindPauseEnd(m_endpoints, m_system, kNow), kNow + seconds(1));
+}
+
+TEST_F(PausedServersTest, LeavingServerIsNotChosenUntilItStartsAgain) {
+  RoutedServer& leaving = m_endpoints.m_servers.at("a");
+  EXPECT_TRUE(m_system.OnLeaving(Row("a"), leaving, kNow));
+  EXPECT_FALSE(m_system.OnLeaving(Row("a"), leaving, kNow + seconds(1)));
+  m_system.Expire(kNow + seconds(60));
+  EXPECT_EQ(m_system.LeavingSince(Row("a"), leaving), kNow);
+  ASSERT_NE(Choose(), nullptr);
+  EXPECT_EQ(Choose()->m_id, "b");
+  m_endpoints.m_servers.erase("b");
+  EXPECT_EQ(Choose(), nullptr);
+  ++leaving.m_incarnation;
+  EXPECT_NE(Choose(), nullptr);
+}
+
 }  // namespace
 }  // namespace foxtail
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -231,6 +231,41 @@
             ErrorCode::kRequestMalformed);
 }
 
+ServerResponse ClassifyWith(
+    int status,
+    const std::vector<std::pair<std::string, std::string>>& fields) {
+  HttpResponse response;
+  response.m_status = status;
+  response.m_headers.Set("X-Foxtailcart-Request-Id", "r1");
+  response.m_headers.Set("X-Foxtailcart-Not-Executed", "1");
+  for (const auto& [name, value] : fields) {
+    response.m_headers.Set(name, value);
+  }
+  ClientRequest request;
+  request.m_request_id = "r1";
+  return PlatformFrontEnd().Classify(request, response);
+}
+
+TEST(PlatformFrontEndTest, DecodesThePauseThatAServerAsksFor) {
+  EXPECT_EQ(ClassifyWith(503, {{"Retry-After", "1.5"}}).m_pause,
+            milliseconds(1500));
+  EXPECT_EQ(ClassifyWith(429, {{"Retry-After", "1.5"}}).m_pause, Duration(0));
+  for (const char* wrong : {"", "-1", "soon", "1.5x", "nan"}) {
+    EXPECT_EQ(ClassifyWith(503, {{"Retry-After", wrong}}).m_pause, Duration(0))
+        << wrong;
+  }
+  EXPECT_EQ(ClassifyWith(503, {{"Retry-After", "1e300"}}).m_pause,
+            std::chrono::seconds(30));
+}
+
+TEST(PlatformFrontEndTest, DecodesTheMarkOfALeavingServer) {
+  EXPECT_TRUE(ClassifyWith(503, {{"Server-Leaving", "1"}}).m_leaving);
+  EXPECT_FALSE(ClassifyWith(503, {}).m_leaving);
+  EXPECT_FALSE(ClassifyWith(503, {{"Server-Leaving", "1"},
+                                  {"X-Foxtailcart-Request-Id", "other"}})
+                   .m_leaving);
+}
+
 TEST(PlatformFrontEndTest, AcceptsOnlyCompleteResponsesOfTheServer) {
   const PlatformFrontEnd front_end;
   const ClientRequest request = front_end.Decode(GoodRequest());
--- a/tests/support/gateway_world.cc
+++ b/tests/support/gateway_world.cc
@@ -465,6 +465,9 @@
   } else if (const auto* announcement =
                  std::get_if<LeaderAnnouncement>(&message)) {
     LeadershipSystem::OnAnnouncement(tables, *announcement, now);
+  } else if (const auto* leaving =
+                 std::get_if<LeavingServersNotice>(&message)) {
+    MemberSystem::OnLeavingServers(tables, *leaving, now);
   } else {
     const auto& response = std::get<ReportResponse>(message);
     LeadershipSystem::OnReportResponse(tables, response, now);
