Watch new connections before their first request, and wait for a leader at the start

Cause, first: a server over its limit of connections resets a new one at once. Second: hosts that start together all watched the store until there was a leader, and each received every other's registration.

Change: HttpClient can leave a new connection alone for a settle time, 3 ms at the gateway; one that the server closes meanwhile counts as nothing sent, and as a refusal for the send window. A process that has started waits 1.5 s for a leader's messages before it watches the store.

--- a/src/gateway/control_thread.cc
+++ b/src/gateway/control_thread.cc
@@ -110,6 +110,7 @@
   m_server_control = m_factories.m_make_server_control();
   OpenSocket();
   m_tables.m_started_at = Clock::now();
+  RelaySystem::OnStarted(m_tables, m_tables.m_started_at);
   for (WatchedTable& table : m_watched) {
     StartFiber([this, &table] { WatchLoop(table); });
   }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -111,6 +111,11 @@
   Duration m_relay_max_read_age = std::chrono::milliseconds(1000);
   Duration m_relay_silence_timeout = std::chrono::milliseconds(900);
 
+  /// For how long a process that has just started waits for a leader's messages
+  /// before it watches the store itself. Hosts that start together would
+  /// otherwise all receive each other's registrations from the store.
+  Duration m_relay_start_grace = std::chrono::milliseconds(1500);
+
   /// A table is read without waiting for its watch once a change that the
   /// leader knows of has been missing here for this long.
   Duration m_max_lag = std::chrono::milliseconds(300);
--- a/src/gateway/relay_system.cc
+++ b/src/gateway/relay_system.cc
@@ -72,6 +72,10 @@
 
 }  // namespace
 
+void RelaySystem::OnStarted(GatewayTables& tables, TimePoint now) {
+  tables.m_relayed_until = now + tables.m_settings.m_relay_start_grace;
+}
+
 void RelaySystem::OnRead(GatewayTables& tables,
                          WatchedKind kind,
                          uint64_t after,
--- a/src/gateway/relay_system.h
+++ b/src/gateway/relay_system.h
@@ -11,6 +11,9 @@
 /// responses from a leader that relays.
 class RelaySystem {
  public:
+  /// Records the start of this process.
+  static void OnStarted(GatewayTables& tables, TimePoint now);
+
   /// Relays changes that the leader has read from the store. `after` is the
   /// version of the newest change applied before them.
   static void OnRead(GatewayTables& tables,
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -21,7 +21,9 @@
 constexpr HttpClientSettings kClientSettings{
     .m_max_idle_connections = 16,
     .m_max_idle_time = std::chrono::seconds(6),
-    .m_connect_timeout = milliseconds(300)};
+    .m_connect_timeout = milliseconds(300),
+    // Longer than a round trip between data centres of a region.
+    .m_settle_time = milliseconds(3)};
 
 // Responses are accepted for this long after the deadline that was sent to the
 // server.
@@ -528,7 +530,9 @@
   if (!result.m_ok) {
     m_send_system.OnCompleted(id, std::nullopt, false, latency, now);
     if (result.m_progress == ExchangeProgress::kNothingSent) {
-      if (!context.ClientDisconnected()) {
+      if (result.m_closed_at_once) {
+        m_send_system.OnRefused(id);
+      } else if (!context.ClientDisconnected()) {
         m_send_system.OnUnreachable(id, now);
       }
       return AttemptOutcome::kNotSent;
--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <boost/fiber/operations.hpp>
 #include <charconv>
 
 #include "core/error.h"
@@ -112,6 +113,13 @@
     result.m_connection_refused = failure == asio::error::connection_refused;
     return nullptr;
   }
+  if (m_settings.m_settle_time > Duration(0)) {
+    boost::this_fiber::sleep_for(m_settings.m_settle_time);
+    if (!connection->m_stream.IsOpenAndIdle()) {
+      result.m_closed_at_once = true;
+      return nullptr;
+    }
+  }
   connection->m_stream.EnableImmediateWrites();
   EnableKeepAlive(connection->m_stream.GetSocket());
   return connection;
--- a/src/runtime/http_client.h
+++ b/src/runtime/http_client.h
@@ -32,6 +32,10 @@
 
   /// No process listens on the port, so the server's process is gone.
   bool m_connection_refused = false;
+
+  /// The server closed the new connection before anything was sent, as it does
+  /// over its limit of connections.
+  bool m_closed_at_once = false;
   ExchangeProgress m_progress = ExchangeProgress::kNothingSent;
   HttpResponse m_response;
 };
@@ -70,6 +74,11 @@
   /// Time limit for opening a connection, within the deadline of the exchange.
   Duration m_connect_timeout = std::chrono::seconds(5);
 
+  /// A new connection is used after this time if the server has not closed it
+  /// by then. A server that is over its limit of connections closes a new one
+  /// at once, and a request that is already on its way may then have run.
+  Duration m_settle_time{};
+
   /// Maximum size of a response body, bytes.
   size_t m_body_limit = 64 * 1024 * 1024;
 };
--- a/tests/gateway/relay_test.cc
+++ b/tests/gateway/relay_test.cc
@@ -199,6 +199,17 @@
   EXPECT_LE(world.m_watch_reads - reads_before, 8U);
 }
 
+// Hosts that started together each received all others' registrations from the
+// store: 295 hosts made thousands of calls.
+TEST(RelayTest, AProcessThatStartedWaitsForALeaderBeforeItWatches) {
+  GatewayTables tables;
+  Now now{TimePoint() + seconds(100), WallTime(), BootTime(seconds(100))};
+  RelaySystem::OnStarted(tables, now.m_steady);
+  EXPECT_FALSE(RelaySystem::MustWatch(tables, now));
+  now.m_steady += tables.m_settings.m_relay_start_grace;
+  EXPECT_TRUE(RelaySystem::MustWatch(tables, now));
+}
+
 // A relay that stopped must not keep its followers from learning of changes.
 TEST(RelayTest, FollowersOfALostRelayReadTheStore) {
   GatewayWorld world(30, 6);
--- a/tests/runtime/fiber_stream_test.cc
+++ b/tests/runtime/fiber_stream_test.cc
@@ -6,6 +6,7 @@
 #include <boost/fiber/operations.hpp>
 
 #include "runtime/fiber_scheduler.h"
+#include "runtime/fiber_wait.h"
 #include "runtime/http_client.h"
 #include "runtime/http_server.h"
 
@@ -271,5 +272,31 @@
   EXPECT_EQ(ExchangeAndCountConnections({.m_force_new_connection = true}), "2");
 }
 
+// A server over its limit of connections closes a new one at once. A request
+// written before that was seen counted as possibly run.
+TEST(HttpClientTest, NothingIsSentOnAConnectionThatIsClosedAtOnce) {
+  tcp::acceptor acceptor(
+      ThreadIoContext(),
+      tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  bool accepted = false;
+  StartFiber([&] {
+    tcp::socket socket(ThreadIoContext());
+    AwaitOperation(
+        [&](auto handler) { acceptor.async_accept(socket, handler); });
+    socket.set_option(boost::asio::socket_base::linger(true, 0));
+    accepted = true;
+  });
+  HttpClientSettings settings;
+  settings.m_settle_time = milliseconds(20);
+  HttpClient client(settings);
+  const ExchangeResult result =
+      client.Exchange({"127.0.0.1", acceptor.local_endpoint().port()},
+                      HttpRequest(), Clock::now() + seconds(2));
+  EXPECT_TRUE(accepted);
+  EXPECT_FALSE(result.m_ok);
+  EXPECT_TRUE(result.m_closed_at_once);
+  EXPECT_EQ(result.m_progress, ExchangeProgress::kNothingSent);
+}
+
 }  // namespace
 }  // namespace foxtail
--- a/tests/support/gateway_world.cc
+++ b/tests/support/gateway_world.cc
@@ -131,6 +131,7 @@
   fake.m_tables.m_self = {HostAddress(host), std::to_string(fake.m_incarnation),
                           "dc-0", fake.m_processor_share};
   fake.m_tables.m_started_at = m_now;
+  RelaySystem::OnStarted(fake.m_tables, m_now);
   fake.m_report_schedule =
       std::make_unique<ReportSchedule>(fake.m_tables.m_settings);
   const double client_rate = fake.m_clients ? fake.m_clients->m_rate : 0;
