--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -54,6 +54,11 @@
   /// Timeout of one call to a backend server.
   Duration m_server_call_timeout = std::chrono::milliseconds(700);
 
+  /// A tick that runs this long after it was due shows that this process itself
+  /// is late, by lack of processor time or of a link. Several times the delay
+  /// of a busy host's timers.
+  Duration m_late_tick_threshold = std::chrono::milliseconds(150);
+
   /// Timeout of a release call, which waits for running requests.
   Duration m_release_call_timeout = std::chrono::milliseconds(1500);
 
--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -358,11 +358,21 @@
   /// When the next tick is due.
   TimePoint m_next_tick_at;
 
+  /// When a tick last ran later than due.
+  TimePoint m_last_late_at;
+
   bool IsLeading(const Now& now) const {
     return m_leader_lease.m_phase == LeaderLeasePhase::kLeader &&
            now.m_boot < m_leader_lease.m_authority_until;
   }
 
+  /// Returns whether calls that time out now may have done so because this
+  /// process was late.
+  bool WasLate(const Now& now) const {
+    return now.m_steady - m_last_late_at <
+           m_settings.m_server_call_timeout + m_settings.m_late_tick_threshold;
+  }
+
   /// Makes the next tick due no later than this time.
   void WakeAt(TimePoint when) {
     m_next_tick_at = std::min(m_next_tick_at, when);
--- a/src/gateway/gateway_tick.cc
+++ b/src/gateway/gateway_tick.cc
@@ -12,6 +12,11 @@
 void RunGatewayTick(GatewayTables& tables, const Now& now) {
   // Bounds the delay if a system misses a due time.
   constexpr std::chrono::milliseconds kMaxTickInterval{1000};
+  if (tables.m_next_tick_at != TimePoint() &&
+      now.m_steady - tables.m_next_tick_at >
+          tables.m_settings.m_late_tick_threshold) {
+    tables.m_last_late_at = now.m_steady;
+  }
   tables.m_next_tick_at = now.m_steady + kMaxTickInterval;
 
   // 1. Deregister servers still missing after an outage, and remove
--- a/src/gateway/range_grant_system.cc
+++ b/src/gateway/range_grant_system.cc
@@ -204,6 +204,11 @@
   if (!server) {
     return;
   }
+  // A timeout is no evidence against the server if this process was late: it
+  // may not have sent the call or not have read the response in time.
+  if (outcome == ServerCallOutcome::kUnknown && tables.WasLate(now)) {
+    return;
+  }
   const bool failed = outcome == ServerCallOutcome::kUnknown ||
                       outcome == ServerCallOutcome::kGone ||
                       outcome == ServerCallOutcome::kReplaced;
