Ignore members with an address that cannot be sent to

Cause: a member row of another writer with such an address was taken for a member. The datagram to it failed with an error that ended the command, so the members after it in the list got no message; and an error of another type in one received message would have ended the loop that receives all.

Change: such a row is logged as unreadable. Each exception of a message ends that message only.

--- a/src/gateway/control_thread.cc
+++ b/src/gateway/control_thread.cc
@@ -308,7 +308,8 @@
   try {
     ClusterMessage message = DecodeClusterMessage(bytes);
     std::visit([this](auto& typed) { Receive(typed, ReadClocks()); }, message);
-  } catch (const Error& failure) {
+  } catch (const std::exception& failure) {
+    // One message must not end the loop that receives all others.
     m_events.Write(EventNumber::kInternalFailure, {{"error", failure.what()}});
   }
 }
--- a/src/gateway/directory_system.cc
+++ b/src/gateway/directory_system.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/error.h"
+#include "runtime/address.h"
 
 namespace foxtail {
 namespace {
@@ -138,6 +139,7 @@
   MemberRecord record;
   try {
     record = DecodeMemberRecord(row.m_value);
+    ParseAddress(record.m_address);
   } catch (const Error& failure) {
     LogUnreadableRow(tables, kClusterTable, row.m_key, failure.GetDetail());
     return;
--- a/tests/gateway/directory_system_test.cc
+++ b/tests/gateway/directory_system_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "gateway/cluster_codec.h"
 #include "gateway/range_grant_system.h"
 #include "gateway/routing_snapshot.h"
 #include "support/gateway_world.h"
@@ -92,5 +93,23 @@
   EXPECT_EQ(grant->m_server, "server-next");
 }
 
+// A datagram to such an address cannot be sent: the message did not reach the
+// members after it in the list, and a relay stopped receiving.
+TEST(DirectorySystemTest, MemberWithAnUnusableAddressIsIgnored) {
+  const FakeDirectoryDecoder decoder;
+  const DirectorySystem directory(decoder);
+  GatewayTables tables;
+  const auto row = [](const std::string& address) {
+    return StoredRow{kMemberPrefix + address,
+                     EncodeRecord(MemberRecord{address, "1", "dc-1", 1}), 1,
+                     false};
+  };
+  directory.ApplyClusterRows(
+      tables, {row("no-address:1"), row("10.1.0.3:7360"), row("10.1.0.4")},
+      true, {});
+  EXPECT_EQ(tables.m_members.size(), 1U);
+  EXPECT_EQ(tables.m_events.size(), 2U);
+}
+
 }  // namespace
 }  // namespace foxtail
--- a/tests/integration/gateway_test.cc
+++ b/tests/integration/gateway_test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/fiber/operations.hpp>
 
+#include "gateway/cluster_codec.h"
 #include "platform/platform_table_store.h"
 #include "runtime/http_client.h"
 #include "runtime/http_server.h"
@@ -142,6 +143,19 @@
   EXPECT_EQ(m_served.size(), 1U);
 }
 
+// A row of another writer with an address that cannot be sent to ended the
+// control thread's loop, and the process served an ever older configuration.
+TEST_F(GatewayTest, MemberWithAnUnusableAddressHarmsNoOther) {
+  const std::string address = "no-address:1";
+  Write(kClusterTable, kMemberPrefix + address,
+        EncodeRecord(MemberRecord{address, "1", "dc-1", 0.1}));
+  WriteDirectory();
+  ASSERT_TRUE(AwaitReady(200));
+  // Longer than the lifetime of what has been read: later reads must succeed.
+  boost::this_fiber::sleep_for(seconds(6));
+  EXPECT_EQ(ReadyStatus(), 200);
+}
+
 // Regression test for a fault found in a run with many hosts: SIGHUP ended the
 // process.
 TEST_F(GatewayTest, HangUpSignalIsIgnored) {
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -155,16 +155,26 @@
   report.m_loads.push_back({"s", {{4, 5}}});
   OwnersRecord owners;
   owners.m_ranges.push_back({{0, 65535}, "i-1", 17, true, {"i-2"}});
+  RelayedRows relayed;
+  relayed.m_rows = {{"a", "value", 8, false}};
+  relayed.m_owners_changes = {
+      BuildOwnersChange("s", 9, OwnersRecord(), owners)};
+  relayed.m_followers = {"10.0.0.2:7000"};
   const std::vector<std::string> messages = {
-      EncodeMessage(digest), EncodeMessage(report), EncodeRecord(owners)};
-  for (int round = 0; round < 6000; ++round) {
-    std::string bytes = messages[round % 3];
+      EncodeMessage(digest),
+      EncodeMessage(report),
+      EncodeRecord(owners),
+      EncodeMessage(relayed),
+      EncodeMessage(LeavingServersNotice{{{"i-1", 17}}}),
+      EncodeMessage(LeaderAnnouncement{"10.0.0.1:7000", 3, 4})};
+  for (int round = 0; round < 12000; ++round) {
+    std::string bytes = messages[round % messages.size()];
     bytes[random() % bytes.size()] = static_cast<char>(random());
     if (round % 2 == 0) {
       bytes.resize(random() % bytes.size());
     }
     try {
-      if (round % 3 == 2) {
+      if (round % messages.size() == 2) {
         DecodeOwnersRecord(bytes);
       } else {
         DecodeClusterMessage(bytes);
