--- a/review/1/case.py
+++ b/review/1/case.py
@@ -17,7 +17,7 @@
 HEARTBEAT_S = 0.87
 # srv_cut: share 0.22 of the servers; here one of six.
 CUT_S = 4.0
-RESTART_DELAY_S = 0.5
+RESTART_DELAY_S = 0.4
 
 
 class Case(standins.World):
@@ -93,7 +93,7 @@
             world.store.put_json("servers", "i-cat0", old_entry)
             world.record.write("late entry of the life that has ended",
                                key="servers/i-cat0", value=old_entry)
-        await asyncio.sleep(1.5)
+        await asyncio.sleep(1.2)
         leader = world.find_leader()
         leader.signal(signal.SIGKILL)
         leader.process.wait()
@@ -101,7 +101,7 @@
         leader.start()
         await asyncio.sleep(1.0)
         if standins.trouble_enabled():
-            # The old entry has been silent for three intervals.
+            # Three intervals of silence have passed since the late entry.
             world.store.drop("servers", "i-cat0")
         await asyncio.sleep(5)
     finally:
