--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -279,15 +279,12 @@
         self.up = True
         self.seen_fence = [0] * KEYS
         self.held_until = [0.0] * KEYS
-        # When the hold runs out by itself; a release doesn't change it.
-        self.hold_ends = [0.0] * KEYS
         self.running = {}
         self.free = asyncio.Semaphore(slots)
         self.waiting = 0
         self.address = None
         self.listener = None
         self.connections = set()
-        self.answers = 0
 
     async def start(self):
         self.listener = await asyncio.start_server(self.serve, "127.0.0.1", 0,
@@ -324,7 +321,6 @@
         self.born = max(self.born + 1, int(time.time() * 1000))
         self.seen_fence = [0] * KEYS
         self.held_until = [0.0] * KEYS
-        self.hold_ends = [0.0] * KEYS
         self.running = {}
         self.record.write("server started again", server=self.id)
         return entry
@@ -333,20 +329,10 @@
         return self.up and self.held_until[key] > time.monotonic()
 
     async def serve(self, reader, writer):
-        connection = {"last_control_answer": b""}
         self.connections.add(writer)
         try:
             while message := await read_message(reader):
-                await self.before_answer(message, writer, connection)
-                answer = await self.handle(message)
-                if answer is None:
-                    break
-                writer.write(answer)
-                self.answers += 1
-                if message.start_line.startswith("POST /grant "):
-                    connection["last_control_answer"] = answer
-                else:
-                    connection["last_control_answer"] = b""
+                writer.write(await self.handle(message))
                 await writer.drain()
         except ConnectionError:
             pass
@@ -354,9 +340,6 @@
             self.connections.discard(writer)
             writer.close()
 
-    async def before_answer(self, message, writer, connection):
-        """Called when a request has arrived, before anything is answered."""
-
     async def handle(self, message):
         method, target, _ = message.start_line.split(" ")
         wanted = message.get("X-Foxtailcart-Target-Instance", self.id)
@@ -385,10 +368,8 @@
         self.seen_fence[first:last + 1] = [fence] * count
         ends = time.monotonic() + call["hold_s"]
         self.held_until[first:last + 1] = [ends] * count
-        self.hold_ends[first:last + 1] = [ends] * count
         self.record.write("granted", server=self.id, first=first, last=last,
                           fence=fence, hold_s=call["hold_s"])
-        self.world.on_granted(self, first, last)
         return response(200)
 
     async def release(self, call):
@@ -577,9 +558,6 @@
         self.runs = {}
 
     # Hooks of the cases.
-    def on_granted(self, server, first, last):
-        pass
-
     def on_run(self, server, request, key):
         self.runs.setdefault(request, []).append(server)
 
