--- a/review/5/case.py
+++ b/review/5/case.py
@@ -35,13 +35,14 @@
     try:
         await world.start(
             [standins.Server(world, f"cat{i}", "catalogue", f"zone-{'abc'[i % 3]}",
-                             True) for i in range(6)] +
+                             True) for i in range(18)] +
             [standins.Server(world, f"bil{i}", "billing", f"zone-{'abc'[i % 3]}",
                              False) for i in range(3)])
         if not await world.until_serving():
             print("the gateways did not begin to serve")
             return standins.NOT_RUN
-        for i in range(15):
+        # Twelve clients at each gateway, so that requests are under way at any moment.
+        for i in range(36):
             client = standins.Client(world, world.gateways[i % 3], "/order/",
                                      "POST", True, work_s=0.25, body=b"order")
             world.clients.append(client)
