Limit the nesting of JSON before the parser recurses

Cause: the parser recurses once a level and allowed 1,000 levels, on a fiber whose stack of 64 KiB has no guard page. The handler of unreadable rows was not reached. Ruled out: a missing handler of exceptions.

Change: core/json allows 32 levels. The same fault stood in the JSON-RPC library, whose own parser reads the bodies of /rpc and the responses: these pass through core/json first.

Failed before: OperatorRowsDecoderTest.DeeplyNestedRowsAreRejectedOnAFiber (segmentation fault, exit code 139) and BadInputTest.MalformedControlMessagesGetAResponse with a deeply nested body (the control process ended).

--- a/src/core/json.cc
+++ b/src/core/json.cc
@@ -10,10 +10,15 @@
 namespace foxtail {
 namespace {
 
+// The parser recurses once for each level of nesting, and the stack of a fiber
+// is small. The deepest documents of this project have fewer than ten levels.
+constexpr int kMaxNesting = 32;
+
 bool Parse(std::string_view text, Json::Value& value, std::string& errors) {
   Json::CharReaderBuilder builder;
   Json::CharReaderBuilder::strictMode(&builder.settings_);
   builder["strictRoot"] = false;
+  builder["stackLimit"] = kMaxNesting;
   const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
   try {
     return reader->parse(text.data(), text.data() + text.size(), &value,
--- a/src/daemon/control_rpc_client.cc
+++ b/src/daemon/control_rpc_client.cc
@@ -1,6 +1,7 @@
 #include "daemon/control_rpc_client.h"
 
 #include "core/error.h"
+#include "core/json.h"
 #include "runtime/address.h"
 #include "runtime/cluster_request.h"
 #include "runtime/error_response.h"
@@ -40,6 +41,8 @@
     if (response.m_status != kStatusOk) {
       throw ParseErrorResponse(response, ErrorCode::kNetwork);
     }
+    // The parser that reads the body next doesn't limit its nesting.
+    ParseJson(response.m_body);
     return response.m_body;
   };
   Json::Value result;
--- a/tests/integration/bad_input_test.cc
+++ b/tests/integration/bad_input_test.cc
@@ -89,7 +89,7 @@
   for (const char* target : {"/sync", "/tokens", "/rpc"}) {
     for (const std::string& body :
          {std::string(), std::string(64, '\xff'), std::string("{\"a\":"),
-          std::string("[[[[[[[[")}) {
+          std::string("[[[[[[[["), std::string(60'000, '[')}) {
       HttpRequest request;
       request.m_method = "POST";
       request.m_target = target;
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <boost/fiber/operations.hpp>
 #include <functional>
 #include <random>
 
@@ -8,6 +9,7 @@
 #include "platform/base64.h"
 #include "platform/operator_rows_decoder.h"
 #include "platform/platform_front_end.h"
+#include "runtime/fiber_scheduler.h"
 
 namespace foxtail {
 namespace {
@@ -120,6 +122,31 @@
   }
 }
 
+// A row of 1,000 opening brackets overflowed the stack of a fiber: all gateways
+// crashed, and again at each start while the row was there.
+TEST(OperatorRowsDecoderTest, DeeplyNestedRowsAreRejectedOnAFiber) {
+  constexpr size_t kMaxRowSize = 65'536;  // bytes, `row_bytes` of the platform
+  std::string objects;
+  while (objects.size() + 5 <= kMaxRowSize) {
+    objects += "{\"a\":";
+  }
+  bool done = false;
+  StartFiber([&] {
+    for (const std::string& row :
+         {std::string(1000, '['), std::string(kMaxRowSize, '['), objects}) {
+      const OperatorRowsDecoder decoder;
+      EXPECT_EQ(ErrorCodeOf([&] { decoder.DecodeServer("other", row); }),
+                ErrorCode::kMessageMalformed);
+      EXPECT_EQ(ErrorCodeOf([&] { decoder.DecodeConfiguration(row); }),
+                ErrorCode::kIntentInvalid);
+    }
+    done = true;
+  });
+  while (!done) {
+    boost::this_fiber::yield();
+  }
+}
+
 TEST(ClusterCodecTest, OwnersRecordsRoundTrip) {
   OwnersRecord owners;
   owners.m_epoch = 3;
