Exceptions of any type end only their fiber

What could happen: a fiber handed only std::exception to the handler that logs it; an exception of any other type ended the process with all its requests. None is known to be thrown today.

Change: other exceptions are logged as such. The exception by which Boost unwinds a fiber that never ends is passed on.

Failed before: FiberSchedulerTest.ExceptionsOfAnyTypeEndOnlyTheirFiber, by std::terminate (exit code 134).

--- a/src/runtime/fiber_scheduler.cc
+++ b/src/runtime/fiber_scheduler.cc
@@ -2,11 +2,13 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/context/detail/exception.hpp>
 #include <boost/fiber/context.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 #include <boost/fiber/pooled_fixedsize_stack.hpp>
 #include <cassert>
+#include <stdexcept>
 
 namespace foxtail {
 namespace {
@@ -35,6 +37,12 @@
   return handler;
 }
 
+void ReportFailure(const std::exception& failure) {
+  if (FailureHandler()) {
+    FailureHandler()(failure);
+  }
+}
+
 }  // namespace
 
 FiberScheduler::FiberScheduler(std::shared_ptr<boost::asio::io_context> io)
@@ -105,9 +113,11 @@
     try {
       body();
     } catch (const std::exception& failure) {
-      if (FailureHandler()) {
-        FailureHandler()(failure);
-      }
+      ReportFailure(failure);
+    } catch (const boost::context::detail::forced_unwind&) {
+      throw;  // unwinds the stack of a fiber that never ends
+    } catch (...) {
+      ReportFailure(std::runtime_error("exception of unknown type"));
     }
   }).detach();
 }
--- a/tests/runtime/fiber_stream_test.cc
+++ b/tests/runtime/fiber_stream_test.cc
@@ -34,6 +34,22 @@
   FiberStream m_far{tcp::socket(ThreadIoContext())};
 };
 
+// An exception that isn't a `std::exception` ended the process.
+TEST(FiberSchedulerTest, ExceptionsOfAnyTypeEndOnlyTheirFiber) {
+  std::vector<std::string> failures;
+  SetFiberExceptionHandler([&failures](const std::exception& failure) {
+    failures.emplace_back(failure.what());
+  });
+  StartFiber([] { throw std::runtime_error("first"); });
+  StartFiber([] { throw 2; });
+  while (failures.size() < 2) {
+    boost::this_fiber::yield();
+  }
+  SetFiberExceptionHandler(nullptr);
+  EXPECT_EQ(failures[0], "first");
+  EXPECT_NE(failures[1].find("unknown"), std::string::npos);
+}
+
 // Guards against a deadlock: an Asio handler that ran while a fiber was about
 // to wait for an event, and notified the same event, blocked on the lock of
 // that event forever.
