Handle signals from the start of a daemon until its end

Cause: the signal set was local to the wait for the first stop signal, and its destruction restored the default actions. So did a second SIGTERM end the process. Before the set existed, SIGTERM ended the process with the signal, and SIGPIPE did at any time: a gateway ended within seconds of the end of its log's reader. Ruled out: the stop itself; without SIGHUP nothing is lost.

Change: runtime/process_signals. All daemons block SIGINT, SIGTERM and SIGHUP and ignore SIGPIPE as their first step, and handle the first three until the process is gone. The soak reports a stopping gateway that a signal ended.

--- a/src/apps/foxtail_control.cc
+++ b/src/apps/foxtail_control.cc
@@ -179,7 +179,7 @@
 }  // namespace foxtail
 
 int main(int argc, char** argv, char** environment) {
-  return foxtail::RunProgram<foxtail::DaemonSettings>(
+  return foxtail::RunDaemon<foxtail::DaemonSettings>(
       argc, argv, environment,
       "controls cells: plans, owners, leases, grants and tokens",
       "FOXTAIL_CONTROL_", foxtail::DaemonSettingRows(), &foxtail::CheckSettings,
--- a/src/apps/foxtail_entry.cc
+++ b/src/apps/foxtail_entry.cc
@@ -109,7 +109,7 @@
 }  // namespace foxtail
 
 int main(int argc, char** argv, char** environment) {
-  return foxtail::RunProgram<foxtail::EntrySettings>(
+  return foxtail::RunDaemon<foxtail::EntrySettings>(
       argc, argv, environment,
       "takes callers' requests and forwards each to the owner of its key",
       "FOXTAIL_ENTRY_", foxtail::EntrySettingRows(), &foxtail::CheckSettings,
--- a/src/apps/foxtail_gateway.cc
+++ b/src/apps/foxtail_gateway.cc
@@ -80,7 +80,7 @@
 }  // namespace foxtail
 
 int main(int argc, char** argv, char** environment) {
-  return foxtail::RunProgram<foxtail::GatewaySettings>(
+  return foxtail::RunDaemon<foxtail::GatewaySettings>(
       argc, argv, environment,
       "takes clients' requests and forwards each to a server that may run it",
       "FOXTAIL_GATEWAY_", foxtail::GatewaySettingRows(),
--- a/src/apps/program.h
+++ b/src/apps/program.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <boost/asio/signal_set.hpp>
-#include <csignal>
 #include <cstdlib>
 #include <functional>
 #include <iostream>
@@ -11,7 +9,7 @@
 #include "core/error.h"
 #include "core/settings.h"
 #include "runtime/fiber_scheduler.h"
-#include "runtime/fiber_wait.h"
+#include "runtime/process_signals.h"
 
 namespace foxtail {
 
@@ -36,9 +34,6 @@
                std::span<const SettingRow<Settings>> rows,
                const std::function<int(const Settings&)>& check,
                const std::function<int(const Settings&)>& run) {
-  // By default SIGHUP would end the process, so the signal is ignored until
-  // `WaitForStopSignal` handles it.
-  std::signal(SIGHUP, SIG_IGN);
   Settings settings;
   std::vector<SettingSpec> specs = SpecsOf(rows, settings);
   try {
@@ -64,26 +59,18 @@
   }
 }
 
-/// Suspends the calling fiber until the process receives SIGINT or SIGTERM.
-/// SIGHUP, which would end the process by default, calls `on_reload` instead.
-inline void WaitForStopSignal(const std::function<void()>& on_reload) {
-  boost::asio::signal_set signals(ThreadIoContext(), SIGINT, SIGTERM, SIGHUP);
-  int number = SIGHUP;
-  while (number == SIGHUP) {
-    const boost::system::error_code failure = AwaitOperation([&](auto handler) {
-      signals.async_wait(
-          [&number, handler](const auto& error, int signal) mutable {
-            number = signal;
-            handler(error);
-          });
-    });
-    if (failure) {
-      return;
-    }
-    if (number == SIGHUP) {
-      on_reload();
-    }
-  }
+/// Like `RunProgram`, for a process that runs until it is stopped by a signal.
+template <typename Settings>
+int RunDaemon(int argc,
+              char** argv,
+              char** environment,
+              const std::string& brief,
+              const std::string& prefix,
+              std::span<const SettingRow<Settings>> rows,
+              const std::function<int(const Settings&)>& check,
+              const std::function<int(const Settings&)>& run) {
+  DeferStopSignals();
+  return RunProgram(argc, argv, environment, brief, prefix, rows, check, run);
 }
 
 }  // namespace foxtail
--- a/src/apps/standin_backend.cc
+++ b/src/apps/standin_backend.cc
@@ -15,7 +15,7 @@
 }  // namespace foxtail
 
 int main(int argc, char** argv, char** environment) {
-  return foxtail::RunProgram<foxtail::BackendStandinSettings>(
+  return foxtail::RunDaemon<foxtail::BackendStandinSettings>(
       argc, argv, environment, "stand-in for a backend server, for tests only",
       "STANDIN_BACKEND_", foxtail::BackendStandinRows(),
       &foxtail::CheckStandinSettings<foxtail::BackendStandinSettings>,
--- a/src/apps/standin_platform.cc
+++ b/src/apps/standin_platform.cc
@@ -30,7 +30,7 @@
 }  // namespace foxtail
 
 int main(int argc, char** argv, char** environment) {
-  return foxtail::RunProgram<foxtail::PlatformStandinSettings>(
+  return foxtail::RunDaemon<foxtail::PlatformStandinSettings>(
       argc, argv, environment, "stand-in for the platform, for tests only",
       "STANDIN_PLATFORM_", foxtail::kSettingRows,
       &foxtail::CheckStandinSettings<foxtail::PlatformStandinSettings>,
--- a/src/apps/standin_proxy.cc
+++ b/src/apps/standin_proxy.cc
@@ -38,7 +38,7 @@
 }  // namespace foxtail
 
 int main(int argc, char** argv, char** environment) {
-  return foxtail::RunProgram<foxtail::ProxySettings>(
+  return foxtail::RunDaemon<foxtail::ProxySettings>(
       argc, argv, environment, "stand-in for a faulty network, for tests only",
       "STANDIN_PROXY_", foxtail::kSettingRows,
       &foxtail::CheckStandinSettings<foxtail::ProxySettings>, &foxtail::Run);
--- a/tests/integration/gateway_test.cc
+++ b/tests/integration/gateway_test.cc
@@ -2,8 +2,10 @@
 
 #include <boost/fiber/operations.hpp>
 
+#include "core/error.h"
 #include "gateway/cluster_codec.h"
 #include "platform/platform_table_store.h"
+#include "runtime/fiber_scheduler.h"
 #include "runtime/http_client.h"
 #include "runtime/http_server.h"
 #include "support/cluster.h"
@@ -49,6 +51,7 @@
 
   HttpResponse Serve(const HttpRequest& request) {
     m_served.push_back(request);
+    boost::this_fiber::sleep_for(m_service_time);
     HttpResponse response;
     response.m_headers.Set(
         "X-Foxtailcart-Request-Id",
@@ -118,6 +121,9 @@
   PlatformTableStore m_store;
   HttpClient m_client;
   std::vector<HttpRequest> m_served;
+
+  /// Time for which the backend server works on each request.
+  milliseconds m_service_time{0};
 };
 
 TEST_F(GatewayTest, ServesOnceAConfigurationIsLoaded) {
@@ -167,6 +173,37 @@
   EXPECT_EQ(m_gateway.Terminate(), 0);
 }
 
+// SIGHUP ended a process that was stopping, and so did a second SIGTERM: the
+// requests that it had passed on were never answered.
+TEST_F(GatewayTest, SignalsDuringAStopEndNoRequest) {
+  WriteDirectory();
+  ASSERT_TRUE(AwaitReady(200));
+  m_service_time = milliseconds(700);
+  HttpResponse served;
+  bool answered = false;
+  StartFiber([&] {
+    try {
+      served = Send("k");
+    } catch (const Error&) {
+      served.m_status = 0;  // the connection ended without an answer
+    }
+    answered = true;
+  });
+  const TimePoint until = Clock::now() + kTimeout;
+  while (m_served.empty() && Clock::now() < until) {
+    boost::this_fiber::sleep_for(kPollInterval);
+  }
+  for (const int signal : {SIGTERM, SIGHUP, SIGTERM, SIGINT, SIGHUP}) {
+    m_gateway.Signal(signal);
+    boost::this_fiber::sleep_for(milliseconds(50));
+  }
+  while (!answered) {
+    boost::this_fiber::sleep_for(kPollInterval);
+  }
+  EXPECT_EQ(served.m_status, 200);
+  EXPECT_EQ(m_gateway.Wait(), 0);
+}
+
 // Regression test for an incident: the exit waited for a store watch of 25 s,
 // until the platform killed the process.
 TEST_F(GatewayTest, GracefulShutdownDoesNotWaitForTheStore) {
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -325,6 +325,10 @@
       m_process_failures.push_back(
           fmt::format("gateway {} did not end", gateway));
       stopped.m_process->Kill();
+    } else if (stopped.m_shutting_down && !stopped.m_killed &&
+               stopped.m_process->Wait() < 0) {
+      m_process_failures.push_back(
+          fmt::format("a signal ended gateway {} while it stopped", gateway));
     }
     if (!stopped.m_process->IsRunning()) {
       StartGateway(gateway);
