Probes cut short the watches that have fallen silent

Cause: watches wait for up to 26.5 s on connections that are silent for good. The probe that finds the history lost marks the table as not read and leaves the full read to the watch loop, which waits; probes skip tables that are not read. Ruled out: the lease, which was renewed on new connections.

Change: a watch can be cancelled. A probe that learns what an open watch should have returned cancels the watches of all tables, and their loops go on at once. A cancelled watch counts neither as a failure nor as a success of the store. A member that has had to watch by itself for some time probes the servers' rows as well: only the operators' rows were probed before.

Failed before: GatewayTest.ReadsGoOnAfterASilentOutageThatDropsTheHistory, with a proxy that silences open connections for good (503 after 7 s).

--- a/src/gateway/control_thread.cc
+++ b/src/gateway/control_thread.cc
@@ -140,20 +140,24 @@
       // the store no longer matter.
       table.m_failing = false;
       m_watch_needed.WaitUntil(m_tables.m_relayed_until);
-    } else if (!WatchOnce(table)) {
+    } else if (!ReadOrWatch(table)) {
       SleepBeforeRetry();
     }
   }
 }
 
-bool ControlThread::WatchOnce(WatchedTable& table) {
+// Returns whether to continue without a delay.
+bool ControlThread::ReadOrWatch(WatchedTable& table) {
   const BootTime sent_at = BootClock::now();
   const bool complete = !table.m_loaded;
-  const uint64_t version = m_tables.m_progress[table.m_kind].m_applied_version;
+  bool cancelled = false;
   const RowsResult result =
       complete ? m_store->Read(table.m_name, "",
                                m_settings.m_ownership.m_store_timeout)
-               : m_store->Watch(table.m_name, version, kWatchTimeout);
+               : Watch(table, cancelled);
+  if (cancelled) {
+    return true;
+  }
   const bool applied = ApplyResult(table, result, complete, sent_at);
   if (applied && !result.m_rows.empty()) {
     boost::this_fiber::sleep_for(table.m_batch_delay);
@@ -161,6 +165,17 @@
   return applied;
 }
 
+RowsResult ControlThread::Watch(WatchedTable& table, bool& cancelled) {
+  const auto cancellation = std::make_shared<Cancellation>();
+  table.m_open_watch = cancellation;
+  RowsResult result = m_store->Watch(
+      table.m_name, m_tables.m_progress[table.m_kind].m_applied_version,
+      kWatchTimeout, cancellation);
+  table.m_open_watch = nullptr;
+  cancelled = cancellation->IsCancelled();
+  return result;
+}
+
 bool ControlThread::ApplyResult(WatchedTable& table,
                                 const RowsResult& result,
                                 bool complete,
@@ -218,20 +233,39 @@
 void ControlThread::ProbeLoop() {
   while (!m_stopping) {
     for (WatchedTable& table : m_watched) {
-      if (!table.m_loaded ||
-          !RelaySystem::IsProbeDue(m_tables, table.m_kind, ReadClocks())) {
-        continue;
+      if (table.m_loaded &&
+          RelaySystem::IsProbeDue(m_tables, table.m_kind, ReadClocks())) {
+        Probe(table);
       }
-      const BootTime sent_at = BootClock::now();
-      const uint64_t version =
-          m_tables.m_progress[table.m_kind].m_applied_version;
-      ApplyResult(table, m_store->Watch(table.m_name, version, kProbeTimeout),
-                  false, sent_at);
     }
     boost::this_fiber::sleep_for(kProbeCheckInterval);
   }
 }
 
+void ControlThread::Probe(WatchedTable& table) {
+  const BootTime sent_at = BootClock::now();
+  const uint64_t version = m_tables.m_progress[table.m_kind].m_applied_version;
+  const RowsResult result =
+      m_store->Watch(table.m_name, version, kProbeTimeout, nullptr);
+  // An open watch would have received the same.
+  const bool watch_is_dead =
+      result.m_outcome == StoreOutcome::kHistoryLost || !result.m_rows.empty();
+  ApplyResult(table, result, false, sent_at);
+  if (watch_is_dead && table.m_open_watch) {
+    RestartWatches();
+  }
+}
+
+// All watches share the path to the store, so all may have been lost with one.
+// Their loops would otherwise wait for them until they time out.
+void ControlThread::RestartWatches() {
+  for (const WatchedTable& table : m_watched) {
+    if (const auto watch = table.m_open_watch) {
+      watch->Cancel();
+    }
+  }
+}
+
 void ControlThread::UpdateReachability(WatchedTable& table,
                                        bool succeeded,
                                        StoreOutcome outcome) {
--- a/src/gateway/control_thread.h
+++ b/src/gateway/control_thread.h
@@ -84,12 +84,16 @@
     Duration m_batch_delay{};
     bool m_loaded = false;
     bool m_failing = false;
+
+    /// The open watch; null if there is none.
+    std::shared_ptr<Cancellation> m_open_watch = nullptr;
   };
 
   void Run();
   void OpenSocket();
   void WatchLoop(WatchedTable& table);
-  bool WatchOnce(WatchedTable& table);
+  bool ReadOrWatch(WatchedTable& table);
+  RowsResult Watch(WatchedTable& table, bool& cancelled);
   bool ApplyResult(WatchedTable& table,
                    const RowsResult& result,
                    bool complete,
@@ -101,6 +105,8 @@
   void Receive(RelayedRows& relayed, const Now& now);
   void Receive(const LeavingServersNotice& notice, const Now& now);
   void ProbeLoop();
+  void Probe(WatchedTable& table);
+  void RestartWatches();
   void UpdateReachability(WatchedTable& table,
                           bool succeeded,
                           StoreOutcome outcome);
--- a/src/gateway/relay_system.cc
+++ b/src/gateway/relay_system.cc
@@ -184,6 +184,12 @@
     return kind != kClusterRows && now.m_boot - progress.m_last_read_sent_at >
                                        settings.m_leader_refresh_age;
   }
+  if (kind == kServerRows) {
+    return now.m_steady - tables.m_relayed_until >
+               settings.m_member_refresh_age &&
+           now.m_boot - progress.m_last_read_sent_at >
+               settings.m_member_refresh_age;
+  }
   return kind == kOperatorRows && now.m_boot - tables.m_operators_read_at >
                                       settings.m_member_refresh_age;
 }
--- a/src/standins/fault_proxy.cc
+++ b/src/standins/fault_proxy.cc
@@ -21,8 +21,8 @@
 constexpr size_t kBufferSize = 16 * 1024;  // bytes
 constexpr milliseconds kFrozenPollInterval{5};
 
-constexpr std::array<const char*, 5> kFaultNames = {
-    "none", "cut", "freeze", "lose_requests", "lose_answers"};
+constexpr std::array<const char*, 6> kFaultNames = {
+    "none", "cut", "freeze", "lose_requests", "lose_answers", "silence"};
 
 tcp::endpoint ParseEndpoint(const std::string& text) {
   const Address address = ParseAddress(text);
@@ -52,6 +52,9 @@
 
   tcp::socket m_client;
   tcp::socket m_target;
+
+  /// Everything that is sent on the connection is lost, for good.
+  bool m_silent = false;
 };
 
 struct FaultProxy::Link {
@@ -97,6 +100,7 @@
       continue;
     }
     auto connection = std::make_shared<Connection>(std::move(socket));
+    connection->m_silent = link.m_fault == LinkFault::kSilence;
     link.m_connections.push_back(connection);
     StartFiber([&link, connection] { Serve(link, connection); });
   }
@@ -129,9 +133,16 @@
   while (true) {
     FiberWait read;
     from.async_read_some(asio::buffer(buffer), read.Handler());
-    if (read.Wait()) {
+    const bool ended = static_cast<bool>(read.Wait());
+    if (ended && connection->m_silent && !towards_target) {
+      return;  // the client doesn't learn of it
+    }
+    if (ended) {
       break;
     }
+    if (connection->m_silent) {
+      continue;
+    }
     if (link.m_delay.count() > 0) {
       boost::this_fiber::sleep_for(link.m_delay);
     }
@@ -164,10 +175,13 @@
   const Json::Value body = ParseJson(request.m_body);
   link.m_fault = ParseFault(body.get("fault", "none").asString());
   link.m_delay = milliseconds(body.get("delay_ms", 0).asInt64());
-  if (link.m_fault == LinkFault::kCut) {
+  if (link.m_fault == LinkFault::kCut || link.m_fault == LinkFault::kSilence) {
     for (const auto& weak : link.m_connections) {
       if (const auto connection = weak.lock()) {
-        connection->Close();
+        connection->m_silent = link.m_fault == LinkFault::kSilence;
+        if (!connection->m_silent) {
+          connection->Close();
+        }
       }
     }
     link.m_connections.clear();
--- a/src/standins/fault_proxy.h
+++ b/src/standins/fault_proxy.h
@@ -23,6 +23,9 @@
   kLoseRequests,
   /// Bytes from the target are dropped and the connection is closed.
   kLoseResponses,
+  /// All bytes are lost on open connections, also after the fault is cleared,
+  /// and on new ones. Neither end learns of it.
+  kSilence,
 };
 
 /// Stand-in for a faulty network: a TCP proxy whose links can be given faults
--- a/src/store/table_store.h
+++ b/src/store/table_store.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "core/time.h"
+#include "runtime/cancellation.h"
 
 namespace foxtail {
 
@@ -77,10 +79,14 @@
                           const std::string& key,
                           Duration timeout) = 0;
 
-  /// Waits up to `wait` for changes after a version and returns them.
-  virtual RowsResult Watch(const std::string& table,
-                           uint64_t after_version,
-                           Duration wait) = 0;
+  /// Waits up to `wait` for changes after a version and returns them. Ends
+  /// early without a result when `cancellation`, which may be null, is
+  /// triggered.
+  virtual RowsResult Watch(
+      const std::string& table,
+      uint64_t after_version,
+      Duration wait,
+      const std::shared_ptr<Cancellation>& cancellation) = 0;
 
   /// Writes or removes one row if it has the expected version.
   virtual WriteResult Write(const RowWrite& write, Duration timeout) = 0;
--- a/tests/gateway/relay_test.cc
+++ b/tests/gateway/relay_test.cc
@@ -262,5 +262,29 @@
   EXPECT_FALSE(RelaySystem::TakeForward(tables, relayed));
 }
 
+// A member without a leader that relays watches the store by itself. Its watch
+// of the servers could be silent for 26 s, and a server that left stayed in
+// use.
+TEST(RelayTest, MemberThatWatchesByItselfProbesTheServers) {
+  GatewayTables tables;
+  Now now{TimePoint() + seconds(100), WallTime(), BootTime(seconds(100))};
+  tables.m_relayed_until = now.m_steady;
+  tables.m_progress[kServerRows].m_last_read_sent_at = now.m_boot;
+  const auto advance = [&now](Duration time) {
+    now.m_steady += time;
+    now.m_boot += time;
+  };
+  advance(seconds(1));
+  EXPECT_FALSE(RelaySystem::IsProbeDue(tables, kServerRows, now));
+  advance(seconds(2));
+  EXPECT_TRUE(RelaySystem::IsProbeDue(tables, kServerRows, now));
+  tables.m_progress[kServerRows].m_last_read_sent_at = now.m_boot;
+  EXPECT_FALSE(RelaySystem::IsProbeDue(tables, kServerRows, now));
+  // Rows that a leader relays need no probe.
+  advance(seconds(3));
+  tables.m_relayed_until = now.m_steady + seconds(1);
+  EXPECT_FALSE(RelaySystem::IsProbeDue(tables, kServerRows, now));
+}
+
 }  // namespace
 }  // namespace foxtail
--- a/tests/integration/gateway_test.cc
+++ b/tests/integration/gateway_test.cc
@@ -32,13 +32,14 @@
       : m_platform("standin-platform",
                    {"--listen", LoopbackAddress(m_store_port).ToString()},
                    "/dev/null"),
+        m_proxy(
+            "standin-proxy",
+            {"--listen", LoopbackAddress(m_proxy_port).ToString(), "--links",
+             LoopbackAddress(m_store_link_port).ToString() + "=" +
+                 LoopbackAddress(m_store_port).ToString()},
+            "/dev/null"),
         m_gateway("foxtail-gateway",
-                  {"--listen", LoopbackAddress(m_client_port).ToString(),
-                   "--ready", LoopbackAddress(m_ready_port).ToString(),
-                   "--internal", LoopbackAddress(NextPort()).ToString(),
-                   "--metrics", LoopbackAddress(NextPort()).ToString(),
-                   "--store", LoopbackAddress(m_store_port).ToString(),
-                   "--data-centre", "dc-1", "--stop-delay", "300"},
+                  ArgumentsWith(m_client_port, m_ready_port),
                   "/dev/null"),
         m_backend(LoopbackAddress(m_backend_port),
                   HttpServerSettings(),
@@ -49,6 +50,17 @@
 
   ~GatewayTest() override { m_backend.Stop(seconds(1)); }
 
+  std::vector<std::string> ArgumentsWith(uint16_t client_port,
+                                         uint16_t ready_port) const {
+    return {"--listen",      LoopbackAddress(client_port).ToString(),
+            "--ready",       LoopbackAddress(ready_port).ToString(),
+            "--internal",    LoopbackAddress(NextPort()).ToString(),
+            "--metrics",     LoopbackAddress(NextPort()).ToString(),
+            "--store",       LoopbackAddress(m_store_link_port).ToString(),
+            "--data-centre", "dc-1",
+            "--stop-delay",  "300"};
+  }
+
   HttpResponse Serve(const HttpRequest& request) {
     m_served.push_back(request);
     boost::this_fiber::sleep_for(m_service_time);
@@ -63,23 +75,33 @@
 
   void Write(const std::string& table,
              const std::string& key,
-             const std::string& value) {
+             const std::string& value,
+             uint64_t expected_version = 0) {
     const TimePoint until = Clock::now() + kTimeout;
-    while (m_store.Write({table, key, 0, value}, seconds(1)).m_outcome !=
-               StoreOutcome::kDone &&
+    while (m_store.Write({table, key, expected_version, value}, seconds(1))
+                   .m_outcome != StoreOutcome::kDone &&
            Clock::now() < until) {
       boost::this_fiber::sleep_for(kPollInterval);
     }
   }
 
-  void WriteDirectory() {
-    Write("op", "config",
-          R"({"version":"00000003","routes":[{"name":"r","host":"a.example",
+  // Writes version `version` of the configuration with one API key.
+  void WriteConfiguration(uint32_t version, const std::string& api_key) {
+    const RowsResult before = m_store.Read("op", "config", seconds(1));
+    const std::string value = R"({"version":"0000000)" +
+                              std::to_string(version) +
+                              R"(","routes":[{"name":"r","host":"a.example",
           "prefix":"/x/","route_type":"safe","timeout_s":1,
           "target_latency_s":0.4,"priority":2,"service":"s","max_attempts":2}],
           "services":[{"name":"s","max_conns":120}],
-          "tenants":[{"name":"w","api_keys":["k"],"rate_per_s":50,
-          "burst":50}]})");
+          "tenants":[{"name":"w","api_keys":[")" +
+                              api_key + R"("],"rate_per_s":50,"burst":50}]})";
+    Write("op", "config", value,
+          before.m_rows.empty() ? 0 : before.m_rows.front().m_version);
+  }
+
+  void WriteDirectory() {
+    WriteConfiguration(3, "k");
     Write("servers", "i-1",
           R"({"address":"127.0.0.1:)" + std::to_string(m_backend_port) +
               R"(","born":1,"info":{"service":"s","zone":"dc-1","slots":2},
@@ -111,11 +133,22 @@
     return m_client.Call(LoopbackAddress(m_client_port), request, seconds(2));
   }
 
+  void Post(uint16_t port, const std::string& target, const std::string& body) {
+    HttpRequest request;
+    request.m_method = "POST";
+    request.m_target = target;
+    request.m_body = body;
+    m_client.Call(LoopbackAddress(port), request, seconds(2));
+  }
+
   uint16_t m_store_port = NextPort();
+  uint16_t m_store_link_port = NextPort();
+  uint16_t m_proxy_port = NextPort();
   uint16_t m_client_port = NextPort();
   uint16_t m_ready_port = NextPort();
   uint16_t m_backend_port = NextPort();
   Process m_platform;
+  Process m_proxy;
   Process m_gateway;
   HttpServer m_backend;
   PlatformTableStore m_store;
@@ -173,6 +206,26 @@
   EXPECT_EQ(m_gateway.Terminate(), 0);
 }
 
+// All gateways hung for about 20 s after the outage: the watches waited for
+// connections that had fallen silent, and the probes, which found the history
+// dropped, left the full read to the watches.
+TEST_F(GatewayTest, ReadsGoOnAfterASilentOutageThatDropsTheHistory) {
+  // `config_apply_s` and `max_stretch_s` of the platform.
+  constexpr seconds kMaxConfigurationDelay{2 + 5};
+  WriteDirectory();
+  ASSERT_TRUE(AwaitReady(200));
+  Post(m_proxy_port, "/links/0", R"({"fault":"silence"})");
+  boost::this_fiber::sleep_for(milliseconds(4500));
+  Write("other", "row", "value");
+  Post(m_store_port, "/faults", R"({"drop_history":true})");
+  Post(m_proxy_port, "/links/0", R"({"fault":"none"})");
+  WriteConfiguration(4, "k-2");
+  boost::this_fiber::sleep_for(kMaxConfigurationDelay);
+  EXPECT_EQ(ReadyStatus(), 200);
+  EXPECT_EQ(Send("k").m_status, 401);
+  EXPECT_NE(Send("k-2").m_status, 401);
+}
+
 // SIGHUP ended a process that was stopping, and so did a second SIGTERM: the
 // requests that it had passed on were never answered.
 TEST_F(GatewayTest, SignalsDuringAStopEndNoRequest) {
