The youngest server at an address is the one that is there

Cause: of the rows with one address, the one written last decided which server is there, and keys of the others were granted without a release. The last row of an earlier life was written after that of the new one. Ruled out: fencing tokens and waits, which were skipped for ended servers.

Change: the time of the start decides, the row's version only between equal ones. All servers known at an address count, also those whose rows have expired: such a server came back with its late row. The check runs once for a batch of rows instead of once for each. Calls to servers carry the incarnation that they are for, and their outcomes count for that one only: a rejection by the replacement could end a server that had started again elsewhere.

Failed before: ReplacedServerTest.LateRowOfAServerThatHasEndedEndsNoOther, ReplacedServerTest.ServerWhoseRowHadExpiredHasEndedOnceReplaced, GatewayOwnershipTest.NewLeaderKeepsTheKeysOfServersThatStartedAgain.

--- a/src/gateway/directory_system.cc
+++ b/src/gateway/directory_system.cc
@@ -1,6 +1,9 @@
 #include "gateway/directory_system.h"
 
 #include <algorithm>
+#include <string_view>
+#include <tuple>
+#include <unordered_map>
 
 #include "core/error.h"
 #include "runtime/address.h"
@@ -49,26 +52,34 @@
   LogServerChange(tables, EventNumber::kServerUnlisted, server.m_entry);
 }
 
+// A younger server, or one whose row was written later if both started at the
+// same time.
+bool IsYounger(const ServerRow& a, const ServerRow& b) {
+  return std::tie(a.m_entry.m_incarnation, a.m_row_version) >
+         std::tie(b.m_entry.m_incarnation, b.m_row_version);
+}
+
 // An address is used again only after its server has ended, so all servers at
-// the address have ended but the one that wrote its row last. Their rows stay
-// until they have been silent for some time.
-void EndReplacedServers(GatewayTables& tables,
-                        const std::string& address,
-                        const Now& now) {
-  std::vector<ServerRow*> servers;
-  tables.m_servers.ForEach([&](ServerId, ServerRow& server) {
-    if (server.m_registered && server.m_entry.m_address == address) {
-      servers.push_back(&server);
+// an address have ended but the youngest. The versions of the rows don't tell
+// which one that is: a row of a server that has ended may be written late. The
+// rows stay until they have been silent for some time.
+void EndReplacedServers(GatewayTables& tables, const Now& now) {
+  std::unordered_map<std::string_view, const ServerRow*> youngest_at;
+  tables.m_servers.ForEach([&](ServerId, const ServerRow& server) {
+    const ServerRow*& youngest = youngest_at[server.m_entry.m_address];
+    if (!youngest || IsYounger(server, *youngest)) {
+      youngest = &server;
     }
   });
-  const ServerRow* newest =
-      *std::ranges::max_element(servers, {}, &ServerRow::m_row_version);
-  for (ServerRow* server : servers) {
-    if (server != newest) {
-      server->m_ended = true;
-      Deregister(tables, *server, now.m_steady);
+  tables.m_servers.ForEach([&](ServerId, ServerRow& server) {
+    if (youngest_at[server.m_entry.m_address] == &server) {
+      return;
     }
-  }
+    server.m_ended = true;
+    if (server.m_registered) {
+      Deregister(tables, server, now.m_steady);
+    }
+  });
 }
 
 void HandleMissingServer(GatewayTables& tables,
@@ -247,7 +258,7 @@
   tables.m_snapshot_due = true;
 }
 
-void DirectorySystem::ApplyServer(GatewayTables& tables,
+bool DirectorySystem::ApplyServer(GatewayTables& tables,
                                   const StoredRow& row,
                                   const Now& now) const {
   ServerRow* server = FindServer(tables, row.m_key);
@@ -255,7 +266,7 @@
     if (server) {
       HandleMissingServer(tables, *server, now);
     }
-    return;
+    return false;
   }
   BackendServerEntry entry;
   try {
@@ -267,9 +278,10 @@
     if (server) {
       Deregister(tables, *server, ServerChangeTime(tables, now));
     }
-    return;
+    return false;
   }
-  if (!server) {
+  const bool is_new = !server;
+  if (is_new) {
     const ServerId id = tables.m_servers.Insert({});
     tables.m_servers_by_id[row.m_key] = id;
     server = &tables.m_servers.Get(id);
@@ -277,9 +289,10 @@
   }
   const bool restarted = server->m_entry.m_incarnation != entry.m_incarnation;
   if (server->m_ended && !restarted) {
-    return;
+    return false;
   }
-  if (restarted || !server->m_registered) {
+  const bool appeared = is_new || restarted || !server->m_registered;
+  if (appeared) {
     server->m_consecutive_failures = 0;
     server->m_ended = false;
   }
@@ -295,17 +308,19 @@
   server->m_row_version = row.m_version;
   server->m_evacuated =
       tables.m_evacuated.contains(server->m_entry.m_data_centre);
-  if (restarted) {
-    EndReplacedServers(tables, server->m_entry.m_address, now);
-  }
+  return appeared;
 }
 
 void DirectorySystem::ApplyServerRows(GatewayTables& tables,
                                       const std::vector<StoredRow>& rows,
                                       bool complete,
                                       const Now& now) const {
+  bool appeared = false;
   for (const StoredRow& row : rows) {
-    ApplyServer(tables, row, now);
+    appeared = ApplyServer(tables, row, now) || appeared;
+  }
+  if (appeared) {
+    EndReplacedServers(tables, now);
   }
   if (complete) {
     tables.m_servers.ForEach([&](ServerId, ServerRow& server) {
--- a/src/gateway/directory_system.h
+++ b/src/gateway/directory_system.h
@@ -33,7 +33,10 @@
 
  private:
   void ApplyConfiguration(GatewayTables& tables, const StoredRow& row) const;
-  void ApplyServer(GatewayTables& tables,
+
+  /// Returns whether the row shows a server that was not registered before or
+  /// that has started again.
+  bool ApplyServer(GatewayTables& tables,
                    const StoredRow& row,
                    const Now& now) const;
 
--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -77,7 +77,7 @@
 
   SpeedEstimate m_speed;
 
-  /// Another server has the address, so this one has ended and holds no keys.
+  /// A younger server has the address, so this one has ended and holds no keys.
   bool m_ended = false;
 
   /// Number of consecutive failed calls, and the time of the first of them.
@@ -248,6 +248,7 @@
 struct GrantCommand {
   RangeId m_range;
   std::string m_server;
+  int64_t m_incarnation = 0;
   std::string m_address;
   KeyRange m_keys;
   uint64_t m_fence = 0;
@@ -259,6 +260,7 @@
 struct ReleaseCommand {
   RangeId m_range;
   std::string m_server;
+  int64_t m_incarnation = 0;
   std::string m_address;
   KeyRange m_keys;
   uint64_t m_fence = 0;
--- a/src/gateway/range_grant_system.cc
+++ b/src/gateway/range_grant_system.cc
@@ -62,9 +62,9 @@
   if (row.m_fenced_server == row.m_owner) {
     row.m_fenced_server.clear();
   }
-  tables.m_outbox.emplace_back(
-      GrantCommand{id, row.m_owner, server->m_entry.m_address, row.m_range,
-                   row.m_fence, ttl, row.m_handover});
+  tables.m_outbox.emplace_back(GrantCommand{
+      id, row.m_owner, server->m_entry.m_incarnation, server->m_entry.m_address,
+      row.m_range, row.m_fence, ttl, row.m_handover});
 }
 
 void SkipRange(GatewayTables&, RangeId, RangeRow&, const Now&) {}
@@ -80,9 +80,9 @@
                         const BackendServerEntry& previous) {
   const uint64_t fence = ++tables.m_leader_lease.m_last_fence;
   row.m_fence = ++tables.m_leader_lease.m_last_fence;
-  tables.m_outbox.emplace_back(
-      GrantCommand{id, previous.m_id, previous.m_address, row.m_range, fence,
-                   tables.m_settings.m_fencing_grant_ttl, ""});
+  tables.m_outbox.emplace_back(GrantCommand{
+      id, previous.m_id, previous.m_incarnation, previous.m_address,
+      row.m_range, fence, tables.m_settings.m_fencing_grant_ttl, ""});
 }
 
 void ReleasePreviousOwner(GatewayTables& tables,
@@ -120,8 +120,9 @@
   const Duration timeout = std::min(settings.m_release_call_timeout,
                                     row.m_granted_until - now.m_steady);
   // Servers accept a release with any fencing token.
-  tables.m_outbox.emplace_back(ReleaseCommand{
-      id, entry.m_id, entry.m_address, row.m_range, row.m_fence, timeout});
+  tables.m_outbox.emplace_back(
+      ReleaseCommand{id, entry.m_id, entry.m_incarnation, entry.m_address,
+                     row.m_range, row.m_fence, timeout});
 }
 
 struct PhaseEntry {
@@ -197,11 +198,12 @@
 }
 
 void RecordCallOutcome(GatewayTables& tables,
-                       const std::string& server_id,
+                       const GrantCommand& command,
                        ServerCallOutcome outcome,
                        const Now& now) {
-  ServerRow* server = FindServer(tables, server_id);
-  if (!server) {
+  ServerRow* server = FindServer(tables, command.m_server);
+  // The outcome tells nothing of a server that has started again since.
+  if (!server || server->m_entry.m_incarnation != command.m_incarnation) {
     return;
   }
   // A timeout is no evidence against the server if this process was late: it
@@ -221,7 +223,7 @@
     server->m_failing_since = now.m_steady;
     tables.m_events.push_back(
         {EventNumber::kServerDown,
-         {{"cell", server->m_entry.m_service}, {"server", server_id}}});
+         {{"cell", server->m_entry.m_service}, {"server", command.m_server}}});
   }
 }
 
@@ -299,7 +301,7 @@
   }
   const OwnershipSettings& settings = tables.m_settings;
   row->m_call_in_flight = false;
-  RecordCallOutcome(tables, command.m_server, outcome, now);
+  RecordCallOutcome(tables, command, outcome, now);
   if (outcome == ServerCallOutcome::kUnknown) {
     row->m_late_grant_until =
         std::max(row->m_late_grant_until, row->m_granted_until);
--- a/tests/gateway/directory_system_test.cc
+++ b/tests/gateway/directory_system_test.cc
@@ -63,6 +63,37 @@
   EXPECT_FALSE(HasEnded(kNew));
 }
 
+// After servers had started again behind a cut, rows of their earlier lives
+// were written late. A leader took these for the servers that were there and
+// gave away the keys of the new lives while these held them.
+TEST_F(ReplacedServerTest, LateRowOfAServerThatHasEndedEndsNoOther) {
+  const StoredRow young = {kNew, "10.1.0.2:80 dc-1 0 2", 1, false};
+  const StoredRow late = {kOld, "10.1.0.2:80 dc-1 0 1", 2, false};
+  for (const auto& rows : {std::vector<StoredRow>{young, late},
+                           std::vector<StoredRow>{late, young}}) {
+    m_tables = GatewayTables();
+    ApplyRows(rows, true);
+    EXPECT_TRUE(HasEnded(kOld));
+    EXPECT_FALSE(HasEnded(kNew));
+  }
+  m_tables = GatewayTables();
+  ApplyRows({young}, false);
+  ApplyRows({late}, false);
+  EXPECT_TRUE(HasEnded(kOld));
+  EXPECT_FALSE(HasEnded(kNew));
+}
+
+// The same where the earlier life had been registered, its row had expired, and
+// the row came back unchanged.
+TEST_F(ReplacedServerTest, ServerWhoseRowHadExpiredHasEndedOnceReplaced) {
+  Apply(kOld, 1);
+  ApplyRows({{kOld, "", 2, true}}, false);
+  ApplyRows({{kNew, "10.1.0.2:80 dc-1 0 2", 3, false}}, false);
+  Apply(kOld, 4);
+  EXPECT_TRUE(HasEnded(kOld));
+  EXPECT_FALSE(HasEnded(kNew));
+}
+
 TEST_F(ReplacedServerTest, ServerThatStartsAgainElsewhereIsUsed) {
   Apply(kOld, 1);
   Apply(kNew, 2);
--- a/tests/gateway/ownership_test.cc
+++ b/tests/gateway/ownership_test.cc
@@ -208,6 +208,31 @@
   EXPECT_EQ(world.m_double_grants, 0U);
 }
 
+// Servers started again behind a cut, and the last rows of their earlier lives
+// were written after those of the new ones. The next leader read both and gave
+// away the keys that the new lives held.
+TEST(GatewayOwnershipTest, NewLeaderKeepsTheKeysOfServersThatStartedAgain) {
+  GatewayWorld world(5, 6);
+  world.Run(seconds(3));
+  for (size_t server = 0; server < 2; ++server) {
+    const FakeServer before = world.m_servers[server];
+    world.DeregisterServer(server);
+    world.RestartServer(server, before.m_id + "-again");
+    world.RegisterServer(server);
+    const FakeServer after = world.m_servers[server];
+    world.m_servers[server] = before;
+    world.RegisterServer(server);
+    world.m_servers[server] = after;
+  }
+  world.Run(seconds(3));
+  EXPECT_GT(world.CountGrantedKeysOf(0), 0U);
+  world.Kill(world.Leader());
+  world.Run(seconds(8));
+  EXPECT_GT(world.CountGrantedKeysOf(0), 0U);
+  EXPECT_EQ(world.CountGrantedKeys(), kSampledKeys);
+  EXPECT_EQ(world.m_double_grants, 0U);
+}
+
 // While the store refused the leader, the leader granted the longest TTL. Its
 // successor moved keys of the evacuated data centre as if they had no owner.
 TEST(GatewayOwnershipTest, SuccessorReleasesGrantsOfThePreviousLeader) {
--- a/tests/gateway/suspicion_test.cc
+++ b/tests/gateway/suspicion_test.cc
@@ -66,5 +66,23 @@
   EXPECT_EQ(CountFailures(), 1U);
 }
 
+// The server that got the address of a server rejected a call to it. If that
+// server had started again elsewhere meanwhile, it counted as ended.
+TEST_F(SuspicionTest, OutcomeOfACallToAnEarlierLifeEndsNoServer) {
+  ServerRow* server = FindServer(m_tables, kServer);
+  server->m_entry.m_incarnation = 2;
+  GrantCommand command;
+  command.m_range = m_range;
+  command.m_server = kServer;
+  command.m_incarnation = 1;
+  RangeGrantSystem::OnGranted(m_tables, command, ServerCallOutcome::kReplaced,
+                              m_now);
+  EXPECT_FALSE(server->m_ended);
+  command.m_incarnation = 2;
+  RangeGrantSystem::OnGranted(m_tables, command, ServerCallOutcome::kReplaced,
+                              m_now);
+  EXPECT_TRUE(server->m_ended);
+}
+
 }  // namespace
 }  // namespace foxtail
--- a/tests/support/gateway_world.cc
+++ b/tests/support/gateway_world.cc
@@ -73,6 +73,7 @@
     : m_hosts(hosts), m_servers(servers), m_random(seed) {
   SetWorkspaceRate(0);
   for (size_t i = 0; i < servers; ++i) {
+    m_servers[i].m_id = ServerName(i);
     m_servers[i].m_data_centre = "dc-" + std::to_string(i % 2);
     RegisterServer(i);
   }
@@ -97,11 +98,18 @@
   std::ostringstream fields;
   fields << "10.1.0." << server + 1 << ":80 " << fake.m_data_centre << " "
          << fake.m_draining << " " << fake.m_incarnation;
-  PutRow(m_decoder.ServerTable(), ServerName(server), fields.str());
+  PutRow(m_decoder.ServerTable(), fake.m_id, fields.str());
+}
+
+void GatewayWorld::RestartServer(size_t server, const std::string& id) {
+  FakeServer& fake = m_servers[server];
+  fake.m_id = id;
+  fake.m_grants = {};
+  ++fake.m_incarnation;
 }
 
 void GatewayWorld::DeregisterServer(size_t server) {
-  PutRow(m_decoder.ServerTable(), ServerName(server), "", true);
+  PutRow(m_decoder.ServerTable(), m_servers[server].m_id, "", true);
 }
 
 void GatewayWorld::SetEvacuated(const std::string& data_centre,
@@ -284,12 +292,14 @@
 }
 
 // Returns the outcome of a call to a server that accepts it if it arrives.
-ServerCallOutcome GatewayWorld::FindOutcome(size_t host, size_t server) const {
+ServerCallOutcome GatewayWorld::FindOutcome(size_t host,
+                                            size_t server,
+                                            const std::string& id) const {
   const FakeServer& fake = m_servers[server];
   if (fake.m_unreachable_from.contains(host)) {
     return ServerCallOutcome::kUnknown;
   }
-  if (fake.m_replaced) {
+  if (fake.m_replaced || fake.m_id != id) {
     return ServerCallOutcome::kReplaced;
   }
   return fake.m_up ? ServerCallOutcome::kDone : ServerCallOutcome::kUnknown;
@@ -336,7 +346,7 @@
 void GatewayWorld::Send(size_t host, const GrantCommand& command) {
   const size_t server = ServerAt(command.m_address);
   const int64_t incarnation = m_servers[server].m_incarnation;
-  ServerCallOutcome outcome = FindOutcome(host, server);
+  ServerCallOutcome outcome = FindOutcome(host, server, command.m_server);
   const bool reached = outcome == ServerCallOutcome::kDone;
   std::uniform_real_distribution<double> chance(0, 1);
   if (reached && chance(m_random) < m_late_grant_rate) {
@@ -368,7 +378,7 @@
 void GatewayWorld::Send(size_t host, const ReleaseCommand& command) {
   const size_t server = ServerAt(command.m_address);
   FakeServer& fake = m_servers[server];
-  const ServerCallOutcome outcome = FindOutcome(host, server);
+  const ServerCallOutcome outcome = FindOutcome(host, server, command.m_server);
   if (outcome == ServerCallOutcome::kDone) {
     for (uint32_t i = 0; i < kSampledKeys; ++i) {
       if (command.m_keys.Contains(i * kKeysPerSample)) {
@@ -528,7 +538,7 @@
         endpoints ? endpoints->FindRange(sample * kKeysPerSample) : nullptr;
     for (size_t server = 0; server < m_servers.size(); ++server) {
       routed += range && range->m_grant_confirmed &&
-                        range->m_server == ServerName(server) &&
+                        range->m_server == m_servers[server].m_id &&
                         m_servers[server].HasGrant(sample, m_now)
                     ? 1
                     : 0;
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -37,6 +37,7 @@
 
 /// Fake of a backend server that enforces its grants.
 struct FakeServer {
+  std::string m_id;
   std::string m_data_centre;
   bool m_up = true;
   bool m_draining = false;
@@ -106,6 +107,9 @@
 
   /// Writes a server's registration with its current fields.
   void RegisterServer(size_t server);
+
+  /// Starts a server again at its address, under another id.
+  void RestartServer(size_t server, const std::string& id);
   void DeregisterServer(size_t server);
   void SetEvacuated(const std::string& data_centre, bool evacuated);
 
@@ -179,7 +183,9 @@
   void Execute(size_t host, const WriteRowCommand& command);
   void Execute(size_t host, const SendDatagramCommand& command);
   void Receive(size_t host, const ClusterMessage& message);
-  ServerCallOutcome FindOutcome(size_t host, size_t server) const;
+  ServerCallOutcome FindOutcome(size_t host,
+                                size_t server,
+                                const std::string& id) const;
   ServerCallOutcome ApplyGrant(size_t server, const GrantCommand& command);
   void CountDoubleGrants();
   void RecordFence(uint32_t sample, size_t server, uint64_t fence);
