Answer what has reached the kernel when a server stops

What callers saw: the users' report of LOST from real processes, which came without logs; that this is its cause is suspected, not shown. Reproduced by hand and in tests: at a planned stop, a connection that the kernel had accepted and the process had not was reset with its request, and so was an idle connection whose next request had arrived and was not read yet.

Cause: the listener was closed without looking at its queue, and a connection counted as idle if nothing was in this process's own buffer.

Change: a stopping server accepts what waits before it closes the listener, and a connection with unread input is not idle.

Failed before: ServerStopTest.ConnectionThatWaitsToBeAcceptedIsServed and ServerStopTest.RequestThatWaitsToBeReadIsAnswered (connection reset).

--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -68,23 +68,43 @@
       boost::this_fiber::sleep_for(kPollPeriod);
       continue;
     }
-    if (m_stopping || m_connections.size() >= m_settings.m_connection_limit) {
-      continue;
-    }
-    // Closed once its last fiber ends, which also releases the callback.
-    const auto position = m_connections.emplace(m_connections.end());
-    *position = std::make_shared<HttpServerConnection>(
-        std::move(socket), *this,
-        [this, position] { m_connections.erase(position); });
-    (*position)->Start();
+    Serve(std::move(socket));
   }
   m_accepting = false;
 }
 
+void HttpServer::Serve(tcp::socket socket) {
+  if (m_connections.size() >= m_settings.m_connection_limit) {
+    return;
+  }
+  // Closed once its last fiber ends, which also releases the callback.
+  const auto position = m_connections.emplace(m_connections.end());
+  *position = std::make_shared<HttpServerConnection>(
+      std::move(socket), *this,
+      [this, position] { m_connections.erase(position); });
+  (*position)->Start();
+}
+
+// The kernel resets the connections that it has accepted and this process has
+// not when the listener is closed, although their clients may have sent
+// requests.
+void HttpServer::AcceptWaiting() {
+  error_code failure;
+  m_acceptor.non_blocking(true, failure);
+  while (!failure) {
+    tcp::socket socket(ThreadIoContext());
+    m_acceptor.accept(socket, failure);
+    if (!failure) {
+      Serve(std::move(socket));
+    }
+  }
+}
+
 bool HttpServer::Stop(Duration timeout) {
   m_stopping = true;
   error_code ignored;
   m_acceptor.cancel(ignored);
+  AcceptWaiting();
   m_acceptor.close(ignored);
   const TimePoint until = Clock::now() + timeout;
   while (Clock::now() < until) {
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -67,9 +67,9 @@
   /// accepted.
   void StartDraining() { m_draining = true; }
 
-  /// Stops accepting, answers requests in progress, closes idle connections and
-  /// returns when all are closed or `timeout` has passed. Returns whether all
-  /// were closed.
+  /// Stops listening, answers requests in progress and those of connections
+  /// that were waiting to be accepted, closes idle connections and returns when
+  /// all are closed or `timeout` has passed. Returns whether all were closed.
   bool Stop(Duration timeout);
 
   /// Returns the bound port, which differs from the requested one when that was
@@ -86,6 +86,8 @@
 
  private:
   void AcceptLoop();
+  void AcceptWaiting();
+  void Serve(boost::asio::ip::tcp::socket socket);
 
   HttpServerSettings m_settings;
   Handler m_handler;
--- a/src/runtime/http_server_connection.cc
+++ b/src/runtime/http_server_connection.cc
@@ -164,7 +164,10 @@
 }
 
 void HttpServerConnection::CloseIfIdle() {
-  if (m_order.IsIdle() && !m_parsing && m_buffer.size() == 0) {
+  error_code ignored;
+  const bool has_input =
+      m_buffer.size() > 0 || m_stream.GetSocket().available(ignored) > 0;
+  if (m_order.IsIdle() && !m_parsing && !has_input) {
     m_order.StopReading();
     Close();
   }
--- a/tests/runtime/http_server_test.cc
+++ b/tests/runtime/http_server_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <optional>
 #include <set>
@@ -10,6 +11,7 @@
 
 #include "runtime/fiber_event.h"
 #include "runtime/fiber_scheduler.h"
+#include "runtime/fiber_wait.h"
 
 namespace foxtail {
 namespace {
@@ -53,6 +55,61 @@
   EXPECT_EQ(HandleRequestOfClient(false), false);
 }
 
+/// A server and a client that sends requests without letting a fiber of the
+/// server run.
+class ServerStopTest : public testing::Test {
+ protected:
+  ServerStopTest()
+      : m_server({"127.0.0.1", 0}, HttpServerSettings(), [](HttpRequest&) {
+          HttpResponse response;
+          response.m_body = "wax";
+          return response;
+        }) {
+    m_server.Start();
+  }
+
+  void ConnectAndSend() {
+    m_client.connect(
+        {boost::asio::ip::address_v4::loopback(), m_server.GetPort()});
+    Send();
+  }
+
+  void Send() {
+    boost::asio::write(m_client, boost::asio::buffer(std::string(
+                                     "GET / HTTP/1.1\r\nHost: test\r\n\r\n")));
+  }
+
+  std::string ReadResponse() {
+    std::string text;
+    const boost::system::error_code failure = AwaitOperation([&](auto handler) {
+      boost::asio::async_read_until(m_client, boost::asio::dynamic_buffer(text),
+                                    "wax", handler);
+    });
+    return failure ? failure.message() : text.substr(0, text.find('\r'));
+  }
+
+  HttpServer m_server;
+  tcp::socket m_client{ThreadIoContext()};
+};
+
+// During a planned stop, connections that the kernel had accepted and the
+// process had not were reset, with the requests that clients had sent on them.
+TEST_F(ServerStopTest, ConnectionThatWaitsToBeAcceptedIsServed) {
+  ConnectAndSend();
+  EXPECT_TRUE(m_server.Stop(seconds(5)));
+  EXPECT_EQ(ReadResponse(), "HTTP/1.1 200 OK");
+}
+
+// The same with a request that had arrived on an idle connection and that the
+// process had not read.
+TEST_F(ServerStopTest, RequestThatWaitsToBeReadIsAnswered) {
+  ConnectAndSend();
+  EXPECT_EQ(ReadResponse(), "HTTP/1.1 200 OK");
+  Send();
+  EXPECT_TRUE(m_server.Stop(seconds(5)));
+  EXPECT_EQ(ReadResponse(), "HTTP/1.1 200 OK");
+}
+
 /// A server whose handler answers each request with its target when the test
 /// says so, and a client that writes raw bytes.
 class PipelineTest : public testing::Test {
