The log never waits for its reader

What callers saw: the users' reports of FAULT and LOST from real processes came without logs; that this is a cause is suspected, not shown. Reproduced by hand: a gateway whose standard output is a pipe that nobody reads answers nothing once the pipe is full, is not ready, and does not end on SIGTERM.

Cause: each event was written with a blocking call, on the threads of traffic and control.

Change: NonBlockingSink writes only what a poll says the descriptor takes, keeps up to 256 KiB of lines, and drops and counts further ones; the count is logged as events_suppressed of kind "log". The descriptor stays in blocking mode, since other processes may share it.

--- a/src/core/event.cc
+++ b/src/core/event.cc
@@ -2,13 +2,14 @@
 
 #include <json/json.h>
 #include <spdlog/sinks/basic_file_sink.h>
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
 
 #include "core/error.h"
+#include "core/non_blocking_sink.h"
 #include "core/time.h"
 
 namespace foxtail {
@@ -146,10 +147,10 @@
     : m_process(std::move(process)) {
   std::shared_ptr<spdlog::sinks::sink> sink;
   try {
-    if (path == "-") {
-      sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
-    } else if (path.empty()) {
-      sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+    if (path == "-" || path.empty()) {
+      m_output = std::make_shared<NonBlockingSink>(
+          path.empty() ? STDERR_FILENO : STDOUT_FILENO);
+      sink = m_output;
     } else {
       sink = std::make_shared<spdlog::sinks::basic_file_sink_mt>(path);
     }
@@ -165,6 +166,14 @@
 
 void EventLog::Write(EventNumber number,
                      const std::vector<EventField>& fields) {
+  if (const uint64_t dropped = m_output ? m_output->TakeDropped() : 0) {
+    WriteLine(kEventsSuppressed, {{"kind", "log"}, {"count", dropped}});
+  }
+  WriteLine(number, fields);
+}
+
+void EventLog::WriteLine(EventNumber number,
+                         const std::vector<EventField>& fields) {
   Json::Value line;
   line["time_ms"] =
       static_cast<Json::Int64>(WallNow().time_since_epoch().count());
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -15,6 +15,8 @@
 
 namespace foxtail {
 
+class NonBlockingSink;
+
 /// Number of an event. A test compares docs/EVENTS.md with the catalogue.
 enum class EventNumber {
   kProcessStarted = 100,
@@ -89,7 +91,8 @@
 };
 
 /// Writes the events of one process as JSON lines, with wall time and sequence
-/// number. Thread-safe.
+/// number. Never waits for a reader of standard output or standard error.
+/// Thread-safe.
 class EventLog {
  public:
   /// `process` is the name of the process in merged logs. `path` is a file to
@@ -105,8 +108,13 @@
   void Write(EventNumber number, const std::vector<EventField>& fields);
 
  private:
+  void WriteLine(EventNumber number, const std::vector<EventField>& fields);
+
   std::string m_process;
   std::shared_ptr<spdlog::logger> m_logger;
+
+  /// Null if the log is a file that this process has opened.
+  std::shared_ptr<NonBlockingSink> m_output;
   std::atomic<uint64_t> m_sequence = 0;
 };
 
--- a/tests/integration/gateway_test.cc
+++ b/tests/integration/gateway_test.cc
@@ -1,7 +1,11 @@
+#include <fcntl.h>
 #include <gtest/gtest.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include <boost/fiber/operations.hpp>
 
+#include "core/digest.h"
 #include "core/error.h"
 #include "gateway/cluster_codec.h"
 #include "platform/platform_table_store.h"
@@ -108,21 +112,24 @@
               "status":{"state":"ready","warmup_left_s":0}})");
   }
 
-  int ReadyStatus() {
-    const ExchangeResult result =
-        m_client.Exchange(LoopbackAddress(m_ready_port), HttpRequest(),
-                          Clock::now() + seconds(1));
+  int ReadyStatus(uint16_t port) {
+    const ExchangeResult result = m_client.Exchange(
+        LoopbackAddress(port), HttpRequest(), Clock::now() + seconds(1));
     return result.m_ok ? result.m_response.m_status : 0;
   }
 
-  bool AwaitReady(int status) {
+  int ReadyStatus() { return ReadyStatus(m_ready_port); }
+
+  bool AwaitReady(int status, uint16_t port) {
     const TimePoint until = Clock::now() + kTimeout;
-    while (ReadyStatus() != status && Clock::now() < until) {
+    while (ReadyStatus(port) != status && Clock::now() < until) {
       boost::this_fiber::sleep_for(kPollInterval);
     }
-    return ReadyStatus() == status;
+    return ReadyStatus(port) == status;
   }
 
+  bool AwaitReady(int status) { return AwaitReady(status, m_ready_port); }
+
   HttpResponse Send(const std::string& api_key) {
     HttpRequest request;
     request.m_target = "/x/1";
@@ -257,6 +264,67 @@
   EXPECT_EQ(m_gateway.Wait(), 0);
 }
 
+/// A pipe that a gateway writes its log to, as a file.
+class LogPipe {
+ public:
+  LogPipe() : m_path("/tmp/foxtail-log-" + RandomToken()) {
+    mkfifo(m_path.c_str(), 0600);
+    m_reader = open(m_path.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC);
+  }
+  ~LogPipe() {
+    CloseReader();
+    unlink(m_path.c_str());
+  }
+
+  void Fill() const {
+    const int writer = open(m_path.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+    while (write(writer, "\n", 1) == 1) {
+    }
+    close(writer);
+  }
+
+  void CloseReader() {
+    if (m_reader >= 0) {
+      close(std::exchange(m_reader, -1));
+    }
+  }
+
+  const std::string& GetPath() const { return m_path; }
+
+ private:
+  std::string m_path;
+  int m_reader = -1;
+};
+
+// A gateway whose log was not read stopped answering once the pipe was full,
+// and did not end on SIGTERM either.
+TEST_F(GatewayTest, LogThatIsNotReadStopsNoGateway) {
+  const LogPipe log;
+  log.Fill();
+  const uint16_t ready_port = NextPort();
+  Process gateway("foxtail-gateway", ArgumentsWith(NextPort(), ready_port),
+                  log.GetPath());
+  WriteDirectory();
+  EXPECT_TRUE(AwaitReady(200, ready_port));
+  EXPECT_EQ(gateway.Terminate(), 0);
+}
+
+// A gateway ended by SIGPIPE within seconds of the end of its log's reader.
+TEST_F(GatewayTest, EndOfTheLogsReaderEndsNoGateway) {
+  LogPipe log;
+  const uint16_t ready_port = NextPort();
+  Process gateway("foxtail-gateway", ArgumentsWith(NextPort(), ready_port),
+                  log.GetPath());
+  WriteDirectory();
+  ASSERT_TRUE(AwaitReady(200, ready_port));
+  log.CloseReader();
+  WriteConfiguration(4, "k-2");  // writes to the log
+  boost::this_fiber::sleep_for(milliseconds(500));
+  EXPECT_TRUE(gateway.IsRunning());
+  EXPECT_TRUE(AwaitReady(200, ready_port));
+  EXPECT_EQ(gateway.Terminate(), 0);
+}
+
 // Regression test for an incident: the exit waited for a store watch of 25 s,
 // until the platform killed the process.
 TEST_F(GatewayTest, GracefulShutdownDoesNotWaitForTheStore) {
