--- a/src/gateway/gateway_traffic_thread.cc
+++ b/src/gateway/gateway_traffic_thread.cc
@@ -1,5 +1,6 @@
 #include "gateway/gateway_traffic_thread.h"
 
+#include <boost/fiber/future/promise.hpp>
 #include <boost/fiber/operations.hpp>
 #include <cstdlib>
 
@@ -178,7 +179,13 @@
 }
 
 bool GatewayTrafficThread::Stop() {
-  return m_mailbox.Call([this] { return StopServers(); });
+  auto all_answered = std::make_shared<boost::fibers::promise<bool>>();
+  // On a fiber of its own, so that the mailbox goes on to deliver snapshots.
+  m_mailbox.Post([this, all_answered] {
+    StartFiber(
+        [this, all_answered] { all_answered->set_value(StopServers()); });
+  });
+  return all_answered->get_future().get();
 }
 
 // The load balancer stops sending new connections only after its checks have
--- a/src/gateway/gateway_traffic_thread.h
+++ b/src/gateway/gateway_traffic_thread.h
@@ -25,8 +25,9 @@
   void Start(ControlThread& control);
 
   /// Shuts down gracefully: readiness checks fail, requests on open connections
-  /// are completed, then the connections are closed. Returns false if a
-  /// connection had to be cut off. The thread runs until the process ends.
+  /// are completed, then the connections are closed. Snapshots still apply
+  /// meanwhile. Returns false if a connection had to be cut off. The thread
+  /// runs until the process ends.
   bool Stop();
 
   void OnSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot) override;
--- a/tests/integration/gateway_test.cc
+++ b/tests/integration/gateway_test.cc
@@ -264,6 +264,24 @@
   EXPECT_EQ(m_gateway.Wait(), 0);
 }
 
+// The whole configuration stood still during a planned stop: a key that was
+// withdrawn meanwhile was admitted.
+TEST_F(GatewayTest, ConfigurationChangesApplyDuringAStop) {
+  WriteDirectory();
+  ASSERT_TRUE(AwaitReady(200));
+  m_service_time = milliseconds(800);
+  StartFiber([this] { Send("k"); });
+  while (m_served.empty()) {
+    boost::this_fiber::sleep_for(kPollInterval);
+  }
+  m_gateway.Signal(SIGTERM);
+  WriteConfiguration(4, "k-2");
+  // Shorter than the time for which the gateway still takes connections.
+  boost::this_fiber::sleep_for(milliseconds(150));
+  EXPECT_EQ(Send("k").m_status, 401);
+  EXPECT_EQ(m_gateway.Wait(), 0);
+}
+
 /// A pipe that a gateway writes its log to, as a file.
 class LogPipe {
  public:
