Wait for an address that another socket has

What callers saw: the users' report of FAULT from real processes, which came without logs; that this is a cause is suspected, not shown. Reproduced by hand and in a test: a gateway ended with 1 if another socket had one of its ports in the moment of its start, as an outgoing connection of any process may.

Cause: every failure to bind ended the process.

Change: an address in use is tried again every 100 ms, with one line in the log (event 104), and the process can be stopped meanwhile. Other failures to bind are errors of the settings and end it as before. The clients' listener is opened last and started at once.

Failed before: GatewayTest.PortThatIsTakenAtTheStartIsUsedOnceItIsFree (the process had ended).

--- a/src/core/event.cc
+++ b/src/core/event.cc
@@ -26,6 +26,9 @@
               "Graceful shutdown is complete."},
     EventInfo{kSettingsKept, "settings_kept", "",
               "SIGHUP was received; settings are read only at startup."},
+    EventInfo{kAddressInUse, "address_in_use", "error",
+              "Another socket has an address of this process, which waits for "
+              "it."},
     EventInfo{kControlLeaseAcquired, "control_lease_acquired", "cell epoch",
               "This process controls the cell from now on."},
     EventInfo{kControlLeaseLost, "control_lease_lost", "cell epoch",
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -23,6 +23,7 @@
   kProcessStopping = 101,
   kProcessStopped = 102,
   kSettingsKept = 103,
+  kAddressInUse = 104,
   kControlLeaseAcquired = 200,
   kControlLeaseLost = 201,
   kControlLeaseExtended = 202,
--- a/src/gateway/control_thread.cc
+++ b/src/gateway/control_thread.cc
@@ -38,6 +38,10 @@
 constexpr int kMinRetryDelay = 100;  // milliseconds
 constexpr int kMaxRetryDelay = 250;  // milliseconds
 
+// An address of this process that another socket has is tried again after this
+// delay.
+constexpr milliseconds kAddressRetryDelay{100};
+
 constexpr size_t kMaxDatagramSize = 60 * 1024;  // bytes
 
 udp::endpoint ParseEndpoint(const std::string& text) {
@@ -124,12 +128,19 @@
 void ControlThread::OpenSocket() {
   m_socket = std::make_unique<udp::socket>(ThreadIoContext(), udp::v4());
   boost::system::error_code failure;
-  m_socket->bind(ParseEndpoint(m_settings.m_internal), failure);
-  if (failure) {
-    m_events.Write(EventNumber::kInternalFailure,
-                   {{"error", "cannot receive at " + m_settings.m_internal +
-                                  ": " + failure.message()}});
-    std::quick_exit(EXIT_FAILURE);
+  bool reported = false;
+  while (m_socket->bind(ParseEndpoint(m_settings.m_internal), failure)) {
+    const bool in_use = failure == boost::asio::error::address_in_use;
+    if (!std::exchange(reported, true)) {
+      m_events.Write(
+          in_use ? EventNumber::kAddressInUse : EventNumber::kInternalFailure,
+          {{"error", "cannot receive at " + m_settings.m_internal + ": " +
+                         failure.message()}});
+    }
+    if (!in_use) {
+      std::quick_exit(EXIT_FAILURE);
+    }
+    boost::this_fiber::sleep_for(kAddressRetryDelay);
   }
 }
 
--- a/src/gateway/gateway_traffic_thread.cc
+++ b/src/gateway/gateway_traffic_thread.cc
@@ -15,6 +15,9 @@
 // Interval between traffic summaries in the log.
 constexpr std::chrono::seconds kSummaryPeriod{5};
 
+// An address that another socket has is tried again after this delay.
+constexpr milliseconds kAddressRetryDelay{100};
+
 // The readiness check and the metrics have few clients.
 constexpr size_t kMonitoringConnections = 16;
 
@@ -46,17 +49,6 @@
   InstallFiberScheduler();
   m_handler = std::make_unique<RequestHandler>(m_settings, m_front_end, *this,
                                                m_request_log, m_metrics);
-  HttpServerSettings client_settings;
-  client_settings.m_connection_limit = m_settings.m_connection_limit;
-  try {
-    OpenListeners(client_settings);
-  } catch (const Error& failure) {
-    m_events.Write(EventNumber::kInternalFailure, {{"error", failure.what()}});
-    std::quick_exit(EXIT_FAILURE);
-  }
-  m_client_server->Start();
-  m_readiness_server->Start();
-  m_metrics_server->Start();
   m_handler->GetRateLimiter().SetOnTokensNeeded([this] {
     m_report_schedule.OnTokensNeeded();
     m_report_due.Notify();
@@ -64,22 +56,55 @@
   m_handler->SetOnServerLeaving([this] {
     m_control->ReportLeavingServers(m_handler->TakeLeavingServers());
   });
+  StartFiber([this] { OpenListeners(); });
   StartFiber([this] { ReportLoop(); });
   StartFiber([this] { SummaryLoop(); });
   m_mailbox.Loop();
 }
 
-void GatewayTrafficThread::OpenListeners(
-    const HttpServerSettings& client_settings) {
-  m_client_server = std::make_unique<HttpServer>(
-      ParseAddress(m_settings.m_listen), client_settings,
+// The clients' address comes last: a connection there is served at once.
+void GatewayTrafficThread::OpenListeners() {
+  m_readiness_server =
+      Listen(m_settings.m_ready, MonitoringServerSettings(),
+             [this](HttpRequest&) { return BuildReadinessResponse(); });
+  m_metrics_server =
+      Listen(m_settings.m_metrics, MonitoringServerSettings(),
+             [this](HttpRequest&) { return BuildMetricsResponse(); });
+  HttpServerSettings client_settings;
+  client_settings.m_connection_limit = m_settings.m_connection_limit;
+  m_client_server = Listen(
+      m_settings.m_listen, client_settings,
       [this](HttpRequest& request) { return m_handler->Handle(request); });
-  m_readiness_server = std::make_unique<HttpServer>(
-      ParseAddress(m_settings.m_ready), MonitoringServerSettings(),
-      [this](HttpRequest&) { return BuildReadinessResponse(); });
-  m_metrics_server = std::make_unique<HttpServer>(
-      ParseAddress(m_settings.m_metrics), MonitoringServerSettings(),
-      [this](HttpRequest&) { return BuildMetricsResponse(); });
+  m_listening = m_client_server != nullptr;
+  ApplyLimits();
+}
+
+// Starts a server. Waits while another socket has the address: an outgoing
+// connection of another process may have got the port for a moment. Returns
+// null if the process is stopped meanwhile.
+std::unique_ptr<HttpServer> GatewayTrafficThread::Listen(
+    const std::string& address,
+    const HttpServerSettings& settings,
+    HttpServer::Handler handler) {
+  bool reported = false;
+  while (!m_shutting_down) {
+    try {
+      auto server = std::make_unique<HttpServer>(ParseAddress(address),
+                                                 settings, handler);
+      server->Start();
+      return server;
+    } catch (const AddressInUseError& failure) {
+      if (!std::exchange(reported, true)) {
+        m_events.Write(EventNumber::kAddressInUse, {{"error", failure.what()}});
+      }
+    } catch (const Error& failure) {
+      m_events.Write(EventNumber::kInternalFailure,
+                     {{"error", failure.what()}});
+      std::quick_exit(EXIT_FAILURE);
+    }
+    boost::this_fiber::sleep_for(kAddressRetryDelay);
+  }
+  return nullptr;
 }
 
 void GatewayTrafficThread::OnSnapshot(
@@ -92,7 +117,8 @@
 
 void GatewayTrafficThread::ApplyLimits() {
   const uint64_t version = m_handler->ConfigurationVersion();
-  if (version == m_limits_version || !m_handler->HasConfiguration()) {
+  if (!m_listening || version == m_limits_version ||
+      !m_handler->HasConfiguration()) {
     return;
   }
   m_limits_version = version;
@@ -193,6 +219,9 @@
 bool GatewayTrafficThread::StopServers() {
   const TimePoint deadline = Clock::now() + m_settings.m_stop_timeout;
   m_shutting_down = true;
+  if (!m_listening) {
+    return true;  // no client was served
+  }
   m_client_server->StartDraining();
   boost::this_fiber::sleep_for(m_settings.m_stop_delay);
   const bool clean = m_client_server->Stop(deadline - Clock::now());
--- a/src/gateway/gateway_traffic_thread.h
+++ b/src/gateway/gateway_traffic_thread.h
@@ -37,7 +37,10 @@
 
  private:
   void Run();
-  void OpenListeners(const HttpServerSettings& client_settings);
+  void OpenListeners();
+  std::unique_ptr<HttpServer> Listen(const std::string& address,
+                                     const HttpServerSettings& settings,
+                                     HttpServer::Handler handler);
   bool StopServers();
   void ReportLoop();
   void SummaryLoop();
@@ -63,6 +66,9 @@
   FiberEvent m_report_due;
   uint64_t m_limits_version = 0;
   BootTime m_configuration_read_at;
+
+  /// All listeners are open.
+  bool m_listening = false;
   bool m_shutting_down = false;
   bool m_stopping = false;
   std::thread m_thread;
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -39,10 +39,14 @@
   if (!failure) {
     m_acceptor.listen(asio::socket_base::max_listen_connections, failure);
   }
+  const std::string detail = "cannot listen on " + address.ToString() + " (" +
+                             failure.message() +
+                             "); allowed: a free local address";
+  if (failure == asio::error::address_in_use) {
+    throw AddressInUseError(ErrorCode::kSettingInvalid, detail);
+  }
   if (failure) {
-    throw Error(ErrorCode::kSettingInvalid,
-                "cannot listen on " + address.ToString() + " (" +
-                    failure.message() + "); allowed: a free local address");
+    throw Error(ErrorCode::kSettingInvalid, detail);
   }
 }
 
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -6,6 +6,7 @@
 #include <list>
 #include <memory>
 
+#include "core/error.h"
 #include "core/time.h"
 #include "runtime/address.h"
 #include "runtime/http_message.h"
@@ -41,14 +42,20 @@
 
 class HttpServerConnection;
 
+/// Another socket has the address of a server.
+class AddressInUseError : public Error {
+ public:
+  using Error::Error;
+};
+
 /// HTTP/1.1 server on the fibers of the calling thread. Requests of a
 /// connection are answered in order.
 class HttpServer {
  public:
   using Handler = std::function<HttpResponse(HttpRequest&)>;
 
-  /// Binds the address. Throws `Error(kSettingInvalid)` when the address cannot
-  /// be bound.
+  /// Binds the address. Throws `AddressInUseError` or
+  /// `Error(kSettingInvalid)` when the address cannot be bound.
   HttpServer(const Address& address,
              const HttpServerSettings& settings,
              Handler handler);
--- a/tests/integration/gateway_test.cc
+++ b/tests/integration/gateway_test.cc
@@ -3,6 +3,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/fiber/operations.hpp>
 
 #include "core/digest.h"
@@ -343,6 +344,59 @@
   EXPECT_EQ(gateway.Terminate(), 0);
 }
 
+/// Another socket that listens on a port. Processes of the test don't inherit
+/// it.
+class TakenPort {
+ public:
+  explicit TakenPort(uint16_t port)
+      : m_acceptor(ThreadIoContext(),
+                   {boost::asio::ip::address_v4::loopback(), port}) {
+    fcntl(m_acceptor.native_handle(), F_SETFD, FD_CLOEXEC);
+  }
+
+ private:
+  boost::asio::ip::tcp::acceptor m_acceptor;
+};
+
+// A gateway ended at its start if another socket had one of its ports for a
+// moment.
+TEST_F(GatewayTest, PortThatIsTakenAtTheStartIsUsedOnceItIsFree) {
+  const uint16_t client_port = NextPort();
+  const uint16_t ready_port = NextPort();
+  auto other = std::make_unique<TakenPort>(client_port);
+  const std::vector<std::string> arguments =
+      ArgumentsWith(client_port, ready_port);
+  Process gateway("foxtail-gateway", arguments, "/dev/null");
+  WriteDirectory();
+  EXPECT_TRUE(AwaitReady(200, ready_port));
+  other.reset();
+  m_client_port = client_port;
+  const TimePoint until = Clock::now() + kTimeout;
+  int status = 0;
+  while (status != 401 && Clock::now() < until) {
+    boost::this_fiber::sleep_for(kPollInterval);
+    try {
+      status = Send("unknown").m_status;
+    } catch (const Error&) {
+      status = 0;  // not listening yet
+    }
+  }
+  EXPECT_EQ(status, 401);
+  EXPECT_EQ(gateway.Terminate(), 0);
+}
+
+// A process that waits for its address ends when it is told to.
+TEST_F(GatewayTest, GatewayThatWaitsForItsPortCanBeStopped) {
+  const uint16_t client_port = NextPort();
+  const uint16_t ready_port = NextPort();
+  const TakenPort other(client_port);
+  Process gateway("foxtail-gateway", ArgumentsWith(client_port, ready_port),
+                  "/dev/null");
+  WriteDirectory();
+  EXPECT_TRUE(AwaitReady(200, ready_port));
+  EXPECT_EQ(gateway.Terminate(), 0);
+}
+
 // Regression test for an incident: the exit waited for a store watch of 25 s,
 // until the platform killed the process.
 TEST_F(GatewayTest, GracefulShutdownDoesNotWaitForTheStore) {
