The leader issues the rate of a cold server

A cold server was flooded. That this is its cause is suspected; the fault is reproduced on a simulated clock.

Restarted hosts began anew.

Change: the leader issues tokens for each cold server like those of a workspace's rate, with a burst of half a second; the shares that hosts have without a leader and the charges for them are the same code. A request without a token goes to another server or is refused at once. The interval for each host is removed.

ColdStartTest plays 10 and 74 hosts with five requests a second each for one cold server, also through restarts and without a leader, and allows rate and burst without the rule's tolerance.

--- a/src/gateway/directory_system.cc
+++ b/src/gateway/directory_system.cc
@@ -6,6 +6,7 @@
 #include <unordered_map>
 
 #include "core/error.h"
+#include "gateway/cold_start_limit.h"
 #include "runtime/address.h"
 
 namespace foxtail {
@@ -371,6 +372,10 @@
     if (now.m_steady < remove_at) {
       tables.WakeAt(remove_at);
     } else if (!IsReferenced(tables, server.m_entry.m_id)) {
+      if (tables.m_tokens) {
+        tables.m_tokens->Forget(
+            BuildColdStartLimit(server.m_entry.m_id, 0).m_name);
+      }
       tables.m_servers_by_id.erase(server.m_entry.m_id);
       tables.m_servers.Erase(id);
     }
--- a/src/gateway/member_system.cc
+++ b/src/gateway/member_system.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 
+#include "gateway/cold_start_limit.h"
 #include "gateway/equal_share_limiter.h"
 #include "gateway/relay_system.h"
 
@@ -181,6 +182,12 @@
   for (const TokenDemand& demand : report.m_demands) {
     const RoutedWorkspace* workspace =
         tables.m_routes->FindWorkspace(demand.m_workspace);
+    const auto cold_start =
+        workspace ? std::nullopt
+                  : FindColdStartLimit(tables, demand.m_workspace);
+    if (cold_start) {
+      workspace = &*cold_start;
+    }
     if (!workspace) {
       continue;
     }
--- a/src/gateway/rate_limiter.cc
+++ b/src/gateway/rate_limiter.cc
@@ -6,9 +6,9 @@
 
 namespace foxtail {
 
-RateDecision RateLimiter::Acquire(const RoutedWorkspace& workspace,
-                                  const MemberPosition& position,
-                                  TimePoint deadline) {
+RateDecision RateLimiter::TryAcquire(const RoutedWorkspace& workspace,
+                                     const MemberPosition& position,
+                                     TimePoint deadline) {
   const TimePoint arrived_at = Clock::now();
   RateDecision decision = m_admission.Begin(workspace, position, arrived_at);
   while (decision == RateDecision::kWait) {
@@ -18,6 +18,13 @@
     decision = m_admission.Continue(workspace, position, arrived_at, deadline,
                                     Clock::now());
   }
+  return decision;
+}
+
+RateDecision RateLimiter::Acquire(const RoutedWorkspace& workspace,
+                                  const MemberPosition& position,
+                                  TimePoint deadline) {
+  const RateDecision decision = TryAcquire(workspace, position, deadline);
   if (decision == RateDecision::kRefused) {
     throw Error(ErrorCode::kRateExceeded, workspace.m_name);
   }
--- a/src/gateway/rate_limiter.h
+++ b/src/gateway/rate_limiter.h
@@ -21,8 +21,12 @@
   }
 
   /// Acquires a token for a request. May block the calling fiber until the
-  /// leader responds. Returns what admitted the request. Throws
-  /// `Error(kRateExceeded)`.
+  /// leader responds. Returns what admitted the request, or `kRefused`.
+  RateDecision TryAcquire(const RoutedWorkspace& workspace,
+                          const MemberPosition& position,
+                          TimePoint deadline);
+
+  /// The same, but throws `Error(kRateExceeded)` if the request is refused.
   RateDecision Acquire(const RoutedWorkspace& workspace,
                        const MemberPosition& position,
                        TimePoint deadline);
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/error.h"
+#include "gateway/cold_start_limit.h"
 #include "gateway/tracked_body_stream.h"
 
 namespace foxtail {
@@ -51,6 +52,9 @@
 // limit applies to their sum.
 constexpr double kMaxSavedRetries = 3;
 
+// A request that this many cold servers have no room for is refused.
+constexpr uint32_t kMaxColdRefusals = 2;
+
 // Delay before a retry at the same server after a refusal.
 constexpr milliseconds kRefusalRetryDelay{40};
 
@@ -96,6 +100,9 @@
   bool m_maybe_ran = false;
   std::set<std::string> m_tried_servers;
 
+  /// Number of cold servers whose rate did not admit the request.
+  uint32_t m_cold_refusals = 0;
+
   /// Backend server of the last attempt, for logs.
   std::string m_last_server;
 
@@ -305,8 +312,9 @@
   while (true) {
     WaitForTarget(context);
     const RoutedServer* server = FindTarget(context);
-    if (!server || !WaitForTurn(context, *server)) {
-      continue;  // the server has changed meanwhile
+    if (!server || !WaitForTurn(context, *server) ||
+        !AcquireColdStart(context, *server)) {
+      continue;  // the server has changed meanwhile, or takes nothing now
     }
     HttpResponse response;
     const AttemptOutcome outcome =
@@ -432,10 +440,9 @@
   if (m_send_system.PauseEnd(id) > Clock::now()) {
     RefuseDuringPause(context, m_send_system.PauseEnd(id));
   }
-  const Duration estimated =
-      std::max<Duration>(m_send_system.EstimateTotalTime(
-                             id, server, context.m_priority, Clock::now()),
-                         kMinAttemptTime);
+  const Duration estimated = std::max<Duration>(
+      m_send_system.EstimateTotalTime(id, context.m_priority, Clock::now()),
+      kMinAttemptTime);
   if (!m_send_system.HasQueueSpace(id) ||
       Clock::now() + estimated >= context.m_deadline) {
     ThrowFailure(context, ErrorCode::kServerSaturated,
@@ -455,7 +462,7 @@
   while (!can_send && !context.ClientDisconnected() &&
          context.m_snapshot == m_snapshot && Clock::now() < latest_send_at) {
     TimePoint retry_at;
-    can_send = m_send_system.CanSend(id, server, key, Clock::now(), retry_at);
+    can_send = m_send_system.CanSend(id, key, Clock::now(), retry_at);
     if (!can_send) {
       event.WaitUntil(std::min(retry_at, latest_send_at));
     }
@@ -473,6 +480,38 @@
   return can_send;
 }
 
+// All hosts together keep a cold server's rate. A request that it does not
+// admit is sent to another server or, if only this one can run it, refused.
+// Returns whether the request may be sent now.
+bool RequestHandler::AcquireColdStart(RequestContext& context,
+                                      const RoutedServer& server) {
+  const RoutedService* service =
+      context.m_routes->FindService(context.m_service);
+  if (!service || service->m_cold_rate <= 0 ||
+      Clock::now() >= server.m_cold_until) {
+    return true;
+  }
+  const RoutedWorkspace limit =
+      BuildColdStartLimit(server.m_id, service->m_cold_rate);
+  const auto snapshot = context.m_snapshot;
+  const RateDecision decision = m_rate_limiter.TryAcquire(
+      limit, snapshot->m_position, context.m_deadline);
+  if (decision == RateDecision::kRefused) {
+    if (context.m_sharded || ++context.m_cold_refusals > kMaxColdRefusals) {
+      ThrowFailure(context, ErrorCode::kServerSaturated,
+                   ErrorCode::kDeadlineExceeded);
+    }
+    context.m_tried_servers.insert(server.m_id);
+    return false;
+  }
+  if (context.ClientDisconnected() || snapshot != m_snapshot) {
+    m_rate_limiter.GetAdmission().ReturnToken(limit.m_name, decision);
+    context.RequireClient();
+    return false;
+  }
+  return true;
+}
+
 // Only the request at the head of the queue can be sent, so only that request
 // is woken.
 void RequestHandler::WakeQueueHead(SendServerId id) {
@@ -488,11 +527,7 @@
     HttpResponse& response) {
   const TimePoint started_at = Clock::now();
   const SendServerId id = m_send_system.GetOrInsert(server, started_at);
-  const RoutedService* service =
-      context.m_routes->FindService(context.m_service);
-  const Duration cold_send_interval = ColdSendInterval(
-      service ? service->m_cold_rate : 0, context.m_snapshot->m_member_count);
-  m_send_system.OnSent(id, server, cold_send_interval, started_at);
+  m_send_system.OnSent(id);
   WakeQueueHead(id);
   ++context.m_attempts;
   context.m_last_server = server.m_id;
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -94,6 +94,7 @@
   void RefuseDuringPause(RequestContext& context, TimePoint pause_end);
   void WaitForTarget(RequestContext& context);
   bool WaitForTurn(RequestContext& context, const RoutedServer& server);
+  bool AcquireColdStart(RequestContext& context, const RoutedServer& server);
   AttemptOutcome SendOnce(const HttpRequest& request,
                           RequestContext& context,
                           const RoutedServer& server,
--- a/src/gateway/send_system.cc
+++ b/src/gateway/send_system.cc
@@ -72,7 +72,6 @@
 }
 
 Duration SendSystem::EstimateTotalTime(SendServerId id,
-                                       const RoutedServer& server,
                                        uint32_t priority,
                                        TimePoint now) const {
   const SendServerRow& row = m_servers.Get(id);
@@ -83,11 +82,8 @@
   // Requests that are in flight already are part of the measured latency.
   const double rounds = ahead / row.m_window->Size();
   const Duration queue = FromSeconds(row.m_latency_seconds * rounds);
-  const bool cold = now < server.m_cold_until && row.m_next_cold_send_at > now;
-  const TimePoint sendable_at =
-      std::max(cold ? row.m_next_cold_send_at : now, row.m_paused_until);
   return queue + EstimateServiceTime(id) +
-         std::max(Duration(0), sendable_at - now);
+         std::max(Duration(0), row.m_paused_until - now);
 }
 
 Duration SendSystem::EstimateServiceTime(SendServerId id) const {
@@ -120,7 +116,6 @@
 }
 
 bool SendSystem::CanSend(SendServerId id,
-                         const RoutedServer& server,
                          const QueueKey& key,
                          TimePoint now,
                          TimePoint& retry_at) const {
@@ -136,22 +131,11 @@
     retry_at = sendable_at;
     return false;
   }
-  if (now < server.m_cold_until && now < row.m_next_cold_send_at) {
-    retry_at = std::min(row.m_next_cold_send_at, server.m_cold_until);
-    return false;
-  }
   return true;
 }
 
-void SendSystem::OnSent(SendServerId id,
-                        const RoutedServer& server,
-                        Duration cold_send_interval,
-                        TimePoint now) {
-  SendServerRow& row = m_servers.Get(id);
-  ++row.m_in_flight;
-  if (now < server.m_cold_until) {
-    row.m_next_cold_send_at = now + cold_send_interval;
-  }
+void SendSystem::OnSent(SendServerId id) {
+  ++m_servers.Get(id).m_in_flight;
 }
 
 void SendSystem::OnCompleted(SendServerId id,
@@ -266,13 +250,6 @@
   return count;
 }
 
-Duration ColdSendInterval(double cold_rate, size_t members) {
-  if (cold_rate <= 0) {
-    return Duration(0);
-  }
-  return FromSeconds(static_cast<double>(members) / cold_rate);
-}
-
 std::optional<TimePoint> FindPauseEnd(const ServiceEndpoints& endpoints,
                                       SendSystem& system,
                                       TimePoint now) {
--- a/src/gateway/send_system.h
+++ b/src/gateway/send_system.h
@@ -51,9 +51,6 @@
   std::optional<TimePoint> m_leaving_since;
   int64_t m_leaving_incarnation = 0;
 
-  /// Earliest time of the next request while the server is cold.
-  TimePoint m_next_cold_send_at;
-
   /// Earliest time of the next request; set while the window is below one.
   TimePoint m_next_send_at;
   TimePoint m_last_used_at;
@@ -75,7 +72,6 @@
   /// Returns the estimated time until the response to a request that arrives
   /// now, from the requests queued before it and from past latencies.
   Duration EstimateTotalTime(SendServerId id,
-                             const RoutedServer& server,
                              uint32_t priority,
                              TimePoint now) const;
 
@@ -93,22 +89,17 @@
   void Enqueue(SendServerId id, const QueueKey& key);
   void Dequeue(SendServerId id, const QueueKey& key);
 
-  /// Returns whether a queued request may be sent now: it is first in the
-  /// queue, the window has room, and a cold server may receive another request.
-  /// If not, `retry_at` receives the time at which to check again, or
-  /// `TimePoint::max()` if only a queue change or a response can help.
+  /// Returns whether a queued request may be sent now: it is first in the queue
+  /// and the window has room. If not, `retry_at` receives the time at which to
+  /// check again, or `TimePoint::max()` if only a queue change or a response
+  /// can help.
   bool CanSend(SendServerId id,
-               const RoutedServer& server,
                const QueueKey& key,
                TimePoint now,
                TimePoint& retry_at) const;
 
-  /// Records that a request is sent. `cold_send_interval` is the shortest time
-  /// between two requests of this gateway to a cold server.
-  void OnSent(SendServerId id,
-              const RoutedServer& server,
-              Duration cold_send_interval,
-              TimePoint now);
+  /// Records that a request is sent.
+  void OnSent(SendServerId id);
 
   /// Records the end of a sent request. `executed` tells whether the server ran
   /// the request, `latency` how long the attempt took.
@@ -160,11 +151,6 @@
   std::map<std::string, SendServerId> m_by_id;
 };
 
-/// Returns the shortest time between two requests of one gateway to a cold
-/// server, so that `members` gateways together stay within the server's rate of
-/// `cold_rate` requests a second. 0 for a rate of 0, which means no limit.
-Duration ColdSendInterval(double cold_rate, size_t members);
-
 /// Returns when the first of the eligible servers that have asked for a pause
 /// takes requests again, or nothing if there is none.
 std::optional<TimePoint> FindPauseEnd(const ServiceEndpoints& endpoints,
--- a/src/traffic/token_issuer.h
+++ b/src/traffic/token_issuer.h
@@ -134,6 +134,9 @@
                    const ShareChargeTerms& terms,
                    TimePoint now);
 
+  /// Drops what is known of a workspace, which will make no more demands.
+  void Forget(const std::string& workspace) { m_rows.erase(workspace); }
+
   /// Returns the summaries of the workspaces that were issued fewer tokens than
   /// requested since the last call, and resets all counts.
   std::vector<IssuedTokensSummary> CollectSummaries(TimePoint now);
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -32,6 +33,9 @@
 /// The workspace that the fakes' configuration contains.
 inline constexpr const char* kWorkspace = "club";
 
+/// Requests a second that a cold server of the fakes' service takes.
+inline constexpr double kColdRate = 4.9;
+
 /// Number of sampled keys, evenly spaced, for which the fakes track grants.
 inline constexpr uint32_t kSampledKeys = 64;
 
@@ -156,6 +160,10 @@
   /// higher fencing token.
   size_t m_low_fences = 0;
 
+  /// Limit on the clients' requests in place of their workspace's; unset for
+  /// that.
+  std::optional<RoutedWorkspace> m_client_limit;
+
   /// What became of the clients' requests at all hosts.
   RequestRecord m_requests;
   TimePoint m_now = TimePoint() + std::chrono::hours(1);
