Servers of services that are not configured end no others

Cause: any entry counted when the server at an address was determined.

Change: only servers of configured services count. They are compared again when the configuration changes, so the order in which a starting process reads its tables makes no difference.

Failed before: ReplacedServerTest.ServerOfAnUnknownServiceEndsNoOther. The fixture of these tests applies a configuration now; their checks are unchanged.

--- a/src/gateway/directory_system.cc
+++ b/src/gateway/directory_system.cc
@@ -63,17 +63,27 @@
 // An address is used again only after its server has ended, so all servers at
 // an address have ended but the youngest. The versions of the rows don't tell
 // which one that is: a row of a server that has ended may be written late. The
-// rows stay until they have been silent for some time.
+// rows stay until they have been silent for some time. Servers of services that
+// are not configured don't count: other writers may register such.
 void EndReplacedServers(GatewayTables& tables, const Now& now) {
+  if (!tables.m_routes) {
+    return;
+  }
+  const auto counts = [&tables](const ServerRow& server) {
+    return tables.m_routes->FindService(server.m_entry.m_service) != nullptr;
+  };
   std::unordered_map<std::string_view, const ServerRow*> youngest_at;
   tables.m_servers.ForEach([&](ServerId, const ServerRow& server) {
+    if (!counts(server)) {
+      return;
+    }
     const ServerRow*& youngest = youngest_at[server.m_entry.m_address];
     if (!youngest || IsYounger(server, *youngest)) {
       youngest = &server;
     }
   });
   tables.m_servers.ForEach([&](ServerId, ServerRow& server) {
-    if (youngest_at[server.m_entry.m_address] == &server) {
+    if (!counts(server) || youngest_at[server.m_entry.m_address] == &server) {
       return;
     }
     server.m_ended = true;
@@ -229,6 +239,7 @@
   if (!complete) {
     evacuated = tables.m_evacuated;
   }
+  const auto routes_before = tables.m_routes;
   for (const StoredRow& row : rows) {
     std::string data_centre;
     switch (m_decoder.ClassifyRow(row.m_key, data_centre)) {
@@ -246,6 +257,9 @@
         break;
     }
   }
+  if (tables.m_routes != routes_before) {
+    EndReplacedServers(tables, now);  // services may have been added
+  }
   if (evacuated != tables.m_evacuated) {
     std::string names;
     for (const std::string& name : evacuated) {
--- a/tests/gateway/directory_system_test.cc
+++ b/tests/gateway/directory_system_test.cc
@@ -18,6 +18,13 @@
 /// A host that reads registrations of two servers at one address.
 class ReplacedServerTest : public testing::Test {
  protected:
+  ReplacedServerTest() { ApplyConfiguration(); }
+
+  void ApplyConfiguration() {
+    m_directory.ApplyOperatorRows(m_tables, {{"config", "1 0", 1, false}}, true,
+                                  m_now);
+  }
+
   void Apply(const char* server, uint64_t version, bool complete = false) {
     ApplyRows({MakeRow(server, version)}, complete);
   }
@@ -72,17 +79,43 @@
   for (const auto& rows : {std::vector<StoredRow>{young, late},
                            std::vector<StoredRow>{late, young}}) {
     m_tables = GatewayTables();
+    ApplyConfiguration();
     ApplyRows(rows, true);
     EXPECT_TRUE(HasEnded(kOld));
     EXPECT_FALSE(HasEnded(kNew));
   }
   m_tables = GatewayTables();
+  ApplyConfiguration();
   ApplyRows({young}, false);
   ApplyRows({late}, false);
   EXPECT_TRUE(HasEnded(kOld));
   EXPECT_FALSE(HasEnded(kNew));
 }
 
+// An entry of another writer, of a service that is not configured and with the
+// address of a server, ended that server, and its keys were given away.
+TEST_F(ReplacedServerTest, ServerOfAnUnknownServiceEndsNoOther) {
+  const StoredRow row = {kOld, "10.1.0.2:80 dc-1 0 1", 1, false};
+  const StoredRow foreign = {kNew, "10.1.0.2:80 dc-1 0 2 other", 2, false};
+  ApplyRows({row, foreign}, true);
+  EXPECT_FALSE(HasEnded(kOld));
+  // The same if the services are not known yet.
+  m_tables = GatewayTables();
+  ApplyRows({row, foreign}, true);
+  ApplyConfiguration();
+  EXPECT_FALSE(HasEnded(kOld));
+}
+
+// A process that starts may read the servers before the configuration.
+TEST_F(ReplacedServerTest, ServersAreComparedOnceTheirServicesAreKnown) {
+  m_tables = GatewayTables();
+  Apply(kOld, 1);
+  Apply(kNew, 2);
+  ApplyConfiguration();
+  EXPECT_TRUE(HasEnded(kOld));
+  EXPECT_FALSE(HasEnded(kNew));
+}
+
 // The same where the earlier life had been registered, its row had expired, and
 // the row came back unchanged.
 TEST_F(ReplacedServerTest, ServerWhoseRowHadExpiredHasEndedOnceReplaced) {
--- a/tests/support/gateway_world.cc
+++ b/tests/support/gateway_world.cc
@@ -66,6 +66,8 @@
   entry.m_slots = 2;
   fields >> entry.m_address >> entry.m_data_centre >> entry.m_draining >>
       entry.m_incarnation;
+  std::string service;
+  entry.m_service = fields >> service ? service : kService;
   return entry;
 }
 
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -18,7 +18,7 @@
 namespace foxtail {
 
 /// Decodes fake rows of operators and servers, whose fields are separated by
-/// spaces.
+/// spaces. A server's service may stand last.
 class FakeDirectoryDecoder : public DirectoryDecoder {
  public:
   std::string OperatorTable() const override { return "operators"; }
