A grant call after a failed one has a higher fencing token

Looked for what is left of it: a server that starts again under its id after a failed call was granted its keys with the token of its earlier life, until the leader had read its new registration.

Change: after a refused connection or a call without a response the range gets a higher token. A server that starts again between two renewals, with no failed call in between, still gets the former token until its registration is read: open.

Failed before: SuspicionTest.CallAfterAFailedOneHasAHigherToken, which checks the token; the rest of the chain is read off the code.

--- a/src/gateway/range_grant_system.cc
+++ b/src/gateway/range_grant_system.cc
@@ -343,6 +343,13 @@
     row->m_fence = ++tables.m_leader_lease.m_last_fence;
     row->m_next_server_call_at = now.m_steady;
   }
+  if ((outcome == ServerCallOutcome::kGone ||
+       outcome == ServerCallOutcome::kUnknown) &&
+      row->m_fence == command.m_fence) {
+    // The next call may find that the server has started again under its id,
+    // and needs a higher token than the earlier life had.
+    row->m_fence = ++tables.m_leader_lease.m_last_fence;
+  }
   if (outcome != ServerCallOutcome::kDone || row->m_fence != command.m_fence) {
     return;
   }
