Revert "Grant a range only once no previous owner is recorded"

Cause: the write that records a released range adds a record, with its relayed difference, to each move.

--- a/src/gateway/cluster_records.h
+++ b/src/gateway/cluster_records.h
@@ -65,8 +65,7 @@
   /// Whether the owner has confirmed its grant.
   bool m_grant_confirmed = false;
 
-  /// Servers whose earlier grants of the range may not have expired. The owner
-  /// is granted the range only once none is recorded.
+  /// Servers whose earlier grants of the range may not have expired.
   std::vector<std::string> m_previous_owners;
 
   bool operator==(const OwnedRange&) const = default;
--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -89,8 +89,7 @@
 enum class RangePhase {
   /// No server may own the range at the moment.
   kUnowned,
-  /// The new owner, or that no previous one is left, is being written to the
-  /// store.
+  /// The new owner is being written to the store.
   kRecording,
   /// The previous owners are being asked to release the range.
   kReleasing,
--- a/src/gateway/owners_system.cc
+++ b/src/gateway/owners_system.cc
@@ -37,7 +37,7 @@
     row.m_range = owned.m_range;
     row.m_owner = owned.m_server;
     row.m_owner_incarnation = owned.m_incarnation;
-    row.m_may_be_granted = owned.m_previous_owners.empty();
+    row.m_may_be_granted = true;
     row.m_previous_owners = owned.m_previous_owners;
     row.m_fence = ++tables.m_leader_lease.m_last_fence;
     row.m_phase = RangePhase::kRecording;
--- a/src/gateway/range_grant_system.cc
+++ b/src/gateway/range_grant_system.cc
@@ -85,16 +85,6 @@
       row.m_range, fence, tables.m_settings.m_fencing_grant_ttl, ""});
 }
 
-// A range whose record names a previous owner has not been granted to the new
-// one, so a successor need not fence both: showing its token to one of them
-// would make a late grant to the other one with a lower token wrong.
-void RecordReleasedRange(GatewayTables& tables, RangeRow& row) {
-  ServiceRow& service = tables.m_services.Get(row.m_service);
-  row.m_phase = RangePhase::kRecording;
-  row.m_record_number = service.m_record_number + 1;
-  service.m_dirty = true;
-}
-
 void ReleasePreviousOwner(GatewayTables& tables,
                           RangeId id,
                           RangeRow& row,
@@ -103,16 +93,12 @@
     const ServerRow* server = FindServer(tables, server_id);
     return server && server->m_ended;
   });
-  if (row.m_previous_owners.empty()) {
+  if (row.m_previous_owners.empty() || now.m_steady >= row.m_granted_until) {
+    row.m_previous_owners.clear();
     row.m_phase = RangePhase::kGranting;
     SendGrant(tables, id, row, now);
     return;
   }
-  if (now.m_steady >= row.m_granted_until) {
-    row.m_previous_owners.clear();
-    RecordReleasedRange(tables, row);
-    return;
-  }
   tables.WakeAt(row.m_granted_until);
   const ServerRow* previous = FindServer(tables, row.m_previous_owners.back());
   const OwnershipSettings& settings = tables.m_settings;
@@ -378,9 +364,6 @@
       outcome == ServerCallOutcome::kReplaced) {
     row->m_handover = handover.empty() ? row->m_handover : handover;
     RemovePreviousOwner(*row, command.m_server);
-    if (row->m_previous_owners.empty() && outcome == ServerCallOutcome::kDone) {
-      RecordReleasedRange(tables, *row);
-    }
     return;
   }
   tables.m_events.push_back({EventNumber::kOrderFailed,
