Tests of fencing that fail: unnoticed restarts, late grants of a former leader

FencingTest.ServerThatStartsAgainUnnoticedGetsHigherTokens reproduces what is left of the users' record: a renewal repeats its token, so whichever life of a server receives it has the token of the life before. The simulated world now compares tokens between lives of a server, and equal tokens as well as lower ones.

--- /dev/null
+++ b/tests/gateway/fencing_test.cc
@@ -0,0 +1,59 @@
+#include <gtest/gtest.h>
+
+#include "support/gateway_world.h"
+
+namespace foxtail {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A server started again under its id between two renewals of its grants. Until
+// its registration was read, it was granted keys with the fencing tokens that
+// its earlier life had.
+TEST(FencingTest, ServerThatStartsAgainUnnoticedGetsHigherTokens) {
+  GatewayWorld world(3, 6);
+  world.Run(seconds(3));
+  world.m_servers[0].m_grants = {};
+  ++world.m_servers[0].m_incarnation;
+  world.Run(seconds(2));
+  world.RegisterServer(0);
+  world.Run(seconds(2));
+  EXPECT_EQ(world.m_low_fences, 0U);
+  EXPECT_EQ(world.CountGrantedKeys(), kSampledKeys);
+}
+
+/// Keys move while grants are executed late and leaders are killed.
+class LateGrantTest : public testing::TestWithParam<uint32_t> {};
+
+// A new leader showed its fencing token to the previous owner first. A late
+// grant of the killed leader to the new owner was then taken with a lower
+// token.
+TEST_P(LateGrantTest, NoServerTakesAKeyWithALowerToken) {
+  GatewayWorld world(5, 12, GetParam());
+  world.Run(seconds(3));
+  world.m_late_grant_rate = 0.5;
+  for (int i = 0; i < 8; ++i) {
+    const std::string evacuated = "dc-" + std::to_string(i % 2);
+    world.SetEvacuated(evacuated, true);
+    for (const milliseconds time : {milliseconds(300), milliseconds(2300)}) {
+      world.Run(time);
+      const size_t leader = world.Leader();
+      if (leader < world.m_hosts.size()) {
+        world.Kill(leader);
+        world.Run(milliseconds(400));
+        world.Start(leader);
+      }
+    }
+    world.Run(seconds(2));
+    world.SetEvacuated(evacuated, false);
+    world.Run(seconds(4));
+  }
+  EXPECT_EQ(world.m_low_fences, 0U);
+  EXPECT_EQ(world.m_double_grants, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, LateGrantTest, testing::Range(1U, 21U));
+
+}  // namespace
+}  // namespace foxtail
--- a/tests/support/gateway_world.cc
+++ b/tests/support/gateway_world.cc
@@ -311,11 +311,13 @@
 }
 
 void GatewayWorld::RecordFence(uint32_t sample, size_t server, uint64_t fence) {
-  auto& [highest, holder] = m_highest_fences[sample];
-  m_low_fences += fence < highest && server != holder ? 1 : 0;
-  if (fence > highest) {
-    highest = fence;
-    holder = server;
+  HighestFence& highest = m_highest_fences[sample];
+  const int64_t incarnation = m_servers[server].m_incarnation;
+  const bool same_life =
+      highest.m_server == server && highest.m_incarnation == incarnation;
+  m_low_fences += fence <= highest.m_fence && !same_life ? 1 : 0;
+  if (fence > highest.m_fence) {
+    highest = {fence, server, incarnation};
   }
 }
 
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -156,8 +156,8 @@
   size_t m_row_calls = 0;
   size_t m_double_grants = 0;
 
-  /// Grants that a server took although another server had had the key under a
-  /// higher fencing token.
+  /// Grants that a server took although another server, or an earlier life of
+  /// the same one, had had the key under this fencing token or a higher one.
   size_t m_low_fences = 0;
 
   /// Limit on the clients' requests in place of their workspace's; unset for
@@ -209,9 +209,14 @@
   FakeDirectoryDecoder m_decoder;
   DirectorySystem m_directory{m_decoder};
   std::map<std::pair<std::string, std::string>, StoredValue> m_rows;
-  /// Highest fencing token under which each sampled key was granted, and the
-  /// server that had it then.
-  std::array<std::pair<uint64_t, size_t>, kSampledKeys> m_highest_fences{};
+  /// Highest fencing token under which a key was granted, and the server and
+  /// the life of it that had the key then.
+  struct HighestFence {
+    uint64_t m_fence = 0;
+    size_t m_server = 0;
+    int64_t m_incarnation = 0;
+  };
+  std::array<HighestFence, kSampledKeys> m_highest_fences{};
   uint64_t m_version = 0;
   uint64_t m_config_version = 0;
   std::multimap<TimePoint, std::function<void()>> m_scheduled;
