Each grant call has a fencing token of its own

What callers saw (users' record): two servers at one address took a key with one fencing token. The same can still act on two lives of one server: one that starts again under its id between two renewals takes its keys with the token of its earlier life.

Change: a token is issued when a call is sent, not when its range is planned. Whatever a call reaches, no other call has had its token. The cases that raised it (a restart, a call without a response, a rejected one, a new leader) need no code of their own any more. A leader issues more tokens than before, so their counter has 32 bits, and a leader resigns when half of them are used.

--- a/src/gateway/gateway_tables.cc
+++ b/src/gateway/gateway_tables.cc
@@ -55,6 +55,10 @@
       FindServer(static_cast<const GatewayTables&>(tables), id));
 }
 
+uint64_t IssueFencingToken(GatewayTables& tables) {
+  return ++tables.m_leader_lease.m_last_fence;
+}
+
 ServiceId FindService(const GatewayTables& tables, const std::string& name) {
   return tables.m_services.FindIf(
       [&name](const ServiceRow& row) { return row.m_name == name; });
--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -99,12 +99,18 @@
   kStable,
 };
 
+/// Low bits of a fencing token, which count the tokens of one leader. The bits
+/// above hold the leader's epoch.
+inline constexpr uint32_t kFenceCounterBits = 32;
+
 /// A range of shard keys of a service.
 struct RangeRow {
   ServiceId m_service;
   KeyRange m_range;
   std::string m_owner;
   int64_t m_owner_incarnation = 0;
+
+  /// Fencing token of the last grant call; each call has its own.
   uint64_t m_fence = 0;
   RangePhase m_phase = RangePhase::kUnowned;
 
@@ -385,6 +391,10 @@
 ServerRow* FindServer(GatewayTables& tables, const std::string& id);
 const ServerRow* FindServer(const GatewayTables& tables, const std::string& id);
 
+/// Returns a fencing token above all that this leader and its predecessors have
+/// issued.
+uint64_t IssueFencingToken(GatewayTables& tables);
+
 /// Returns the sharded service with this name, or an invalid id.
 ServiceId FindService(const GatewayTables& tables, const std::string& name);
 
--- a/src/gateway/leadership_system.cc
+++ b/src/gateway/leadership_system.cc
@@ -25,9 +25,9 @@
 // it, hundreds of hosts would try to acquire the lease at the same time.
 constexpr std::chrono::milliseconds kMaxWeakHostFirstDelay{1000};
 
-// A fencing token holds the leader's epoch in its high bits and a counter in
-// its low ones.
-constexpr uint32_t kFenceBits = 24;
+// Number of tokens after which a leader resigns, so that the counter of a token
+// never reaches the epoch.
+constexpr uint64_t kMaxTokensOfALeader = uint64_t{1} << (kFenceCounterBits - 1);
 
 bool IsHeldBySelf(const GatewayTables& tables,
                   const LeaderLeaseRecord& record) {
@@ -76,7 +76,7 @@
   tables.m_tokens->Begin(now.m_steady);
   tables.m_rates_advanced_at = now.m_steady;
   tables.m_rates_accrued_for = Duration(0);
-  lease.m_last_fence = lease.m_record.m_epoch << kFenceBits;
+  lease.m_last_fence = lease.m_record.m_epoch << kFenceCounterBits;
   tables.m_events.push_back(
       {EventNumber::kControlLeaseAcquired,
        {{"cell", "cluster"}, {"epoch", lease.m_record.m_epoch}}});
@@ -228,6 +228,9 @@
     ReadLease(tables);
     return;
   }
+  const uint64_t tokens =
+      lease.m_last_fence - (lease.m_record.m_epoch << kFenceCounterBits);
+  lease.m_resigning = lease.m_resigning || tokens > kMaxTokensOfALeader;
   LeaderLeaseRecord record = lease.m_record;
   ++record.m_renewals;
   record.m_released = tables.m_shutting_down || lease.m_resigning;
--- a/src/gateway/owners_system.cc
+++ b/src/gateway/owners_system.cc
@@ -39,7 +39,6 @@
     row.m_owner_incarnation = owned.m_incarnation;
     row.m_may_be_granted = true;
     row.m_previous_owners = owned.m_previous_owners;
-    row.m_fence = ++tables.m_leader_lease.m_last_fence;
     row.m_phase = RangePhase::kRecording;
     row.m_record_number = record.m_number + 1;
     row.m_granted_until = granted_until;
--- a/src/gateway/range_grant_system.cc
+++ b/src/gateway/range_grant_system.cc
@@ -62,6 +62,9 @@
   if (row.m_fenced_server == row.m_owner) {
     row.m_fenced_server.clear();
   }
+  // A call may reach another life of the server than the call before it did,
+  // and a call without a response may be executed after it.
+  row.m_fence = IssueFencingToken(tables);
   tables.m_outbox.emplace_back(GrantCommand{
       id, row.m_owner, server->m_entry.m_incarnation, server->m_entry.m_address,
       row.m_range, row.m_fence, ttl, row.m_handover});
@@ -78,11 +81,10 @@
                         RangeId id,
                         RangeRow& row,
                         const BackendServerEntry& previous) {
-  const uint64_t fence = ++tables.m_leader_lease.m_last_fence;
-  row.m_fence = ++tables.m_leader_lease.m_last_fence;
+  row.m_fence = IssueFencingToken(tables);
   tables.m_outbox.emplace_back(GrantCommand{
       id, previous.m_id, previous.m_incarnation, previous.m_address,
-      row.m_range, fence, tables.m_settings.m_fencing_grant_ttl, ""});
+      row.m_range, row.m_fence, tables.m_settings.m_fencing_grant_ttl, ""});
 }
 
 void ReleasePreviousOwner(GatewayTables& tables,
@@ -148,8 +150,8 @@
          phase == RangePhase::kStable;
 }
 
-// A server that restarted under the same id owns no keys, and accepts grants
-// only with a higher fencing token than before.
+// A server that restarted under the same id owns no keys until it is granted
+// them again.
 void HandleServerRestart(GatewayTables& tables, RangeRow& row) {
   const ServerRow* server = FindServer(tables, row.m_owner);
   if (!server || server->m_entry.m_incarnation == row.m_owner_incarnation ||
@@ -157,7 +159,6 @@
     return;
   }
   row.m_owner_incarnation = server->m_entry.m_incarnation;
-  row.m_fence = ++tables.m_leader_lease.m_last_fence;
   row.m_next_server_call_at = TimePoint();
 }
 
@@ -322,21 +323,6 @@
                                 {"partition", NameOf(command.m_keys)},
                                 {"epoch", command.m_fence},
                                 {"outcome", NameOf(outcome)}}});
-  }
-  if (outcome == ServerCallOutcome::kFenced &&
-      row->m_fence == command.m_fence) {
-    // An earlier call, of this leader or a preceding one, was executed late.
-    row->m_fence = ++tables.m_leader_lease.m_last_fence;
-    row->m_next_server_call_at = now.m_steady;
-  }
-  if ((outcome == ServerCallOutcome::kGone ||
-       outcome == ServerCallOutcome::kUnknown) &&
-      row->m_fence == command.m_fence) {
-    // The next call may find that the server has started again under its id,
-    // and needs a higher token than the earlier life had.
-    row->m_fence = ++tables.m_leader_lease.m_last_fence;
-  }
-  if (outcome != ServerCallOutcome::kDone || row->m_fence != command.m_fence) {
     return;
   }
   row->m_granted_until =
--- a/src/gateway/range_placement_system.cc
+++ b/src/gateway/range_placement_system.cc
@@ -201,7 +201,6 @@
       RangeRow row =
           BuildPieceRow(tables, whole, piece, service.m_record_number + 1, now);
       if (row.m_owner != whole.m_owner) {
-        row.m_fence = ++tables.m_leader_lease.m_last_fence;
         tables.m_events.push_back({EventNumber::kPartitionMoveStarted,
                                    {{"cell", service.m_name},
                                     {"partition", NameOf(piece.m_range)},
@@ -220,7 +219,6 @@
   RangeRow row;
   row.m_service = service;
   row.m_range = {0, kShardKeys - 1};
-  row.m_fence = ++tables.m_leader_lease.m_last_fence;
   row.m_move_started_at = now.m_steady;
   tables.m_ranges.Insert(std::move(row));
 }
--- a/tests/gateway/fencing_test.cc
+++ b/tests/gateway/fencing_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "gateway/range_grant_system.h"
 #include "support/gateway_world.h"
 
 namespace foxtail {
@@ -23,6 +24,48 @@
   EXPECT_EQ(world.CountGrantedKeys(), kSampledKeys);
 }
 
+// A server that had started again under its id was granted its keys with the
+// token of its earlier life, until the leader had read its new registration.
+TEST(FencingTest, EachCallHasAHigherTokenThanTheOneBefore) {
+  GatewayWorld world(3, 6);
+  world.Run(seconds(3));
+  GatewayTables& tables = world.m_hosts[world.Leader()].m_tables;
+  Now now{world.m_now, WallTime(), BootTime(world.m_now.time_since_epoch())};
+  tables.m_leader_lease.m_authority_until = now.m_boot + seconds(60);
+  const RangeId range =
+      tables.m_ranges.FindIf([](const RangeRow&) { return true; });
+  uint64_t last = 0;
+  for (const auto outcome :
+       {ServerCallOutcome::kDone, ServerCallOutcome::kGone,
+        ServerCallOutcome::kUnknown, ServerCallOutcome::kRejected,
+        ServerCallOutcome::kFenced, ServerCallOutcome::kDone}) {
+    now.m_steady += tables.m_settings.m_grant_renew_period;
+    tables.m_ranges.Get(range).m_call_in_flight = false;
+    RangeGrantSystem::Run(tables, now);
+    GrantCommand call;
+    for (const ControlCommand& command : std::exchange(tables.m_outbox, {})) {
+      const auto* grant = std::get_if<GrantCommand>(&command);
+      call = grant && grant->m_range == range ? *grant : call;
+    }
+    EXPECT_GT(call.m_fence, last) << NameOf(outcome);
+    last = call.m_fence;
+    RangeGrantSystem::OnGranted(tables, call, outcome, now);
+  }
+}
+
+// The counter of a leader's tokens would reach the epoch of its successor.
+TEST(FencingTest, LeaderResignsBeforeItsTokensRunOut) {
+  GatewayWorld world(3, 6);
+  world.Run(seconds(3));
+  const size_t leader = world.Leader();
+  world.m_hosts[leader].m_tables.m_leader_lease.m_last_fence +=
+      uint64_t{3} << (kFenceCounterBits - 2);
+  world.Run(seconds(6));
+  EXPECT_NE(world.Leader(), leader);
+  EXPECT_EQ(world.CountGrantedKeys(), kSampledKeys);
+  EXPECT_EQ(world.m_low_fences, 0U);
+}
+
 /// Keys move while grants are executed late and leaders are killed.
 class LateGrantTest : public testing::TestWithParam<uint32_t> {};
 
--- a/tests/gateway/suspicion_test.cc
+++ b/tests/gateway/suspicion_test.cc
@@ -66,20 +66,6 @@
   EXPECT_EQ(CountFailures(), 1U);
 }
 
-// A server that had started again under its id was granted its keys with the
-// token of its earlier life, until the leader had read its new registration.
-TEST_F(SuspicionTest, CallAfterAFailedOneHasAHigherToken) {
-  for (const auto outcome :
-       {ServerCallOutcome::kGone, ServerCallOutcome::kUnknown}) {
-    GrantCommand command;
-    command.m_range = m_range;
-    command.m_server = kServer;
-    command.m_fence = m_tables.m_ranges.Get(m_range).m_fence;
-    RangeGrantSystem::OnGranted(m_tables, command, outcome, m_now);
-    EXPECT_GT(m_tables.m_ranges.Get(m_range).m_fence, command.m_fence);
-  }
-}
-
 // The server that got the address of a server rejected a call to it. If that
 // server had started again elsewhere meanwhile, it counted as ended.
 TEST_F(SuspicionTest, OutcomeOfACallToAnEarlierLifeEndsNoServer) {
