The record of a move tells whether previous owners have late grants

Cause: a message of one leader took effect under another. The record of a move names the new owner and the previous one from its beginning to its end, so the next leader could not tell which of them may execute a late grant. It showed its higher token to the previous one; a late grant to the new owner was then taken with a lower token.

Change: the record tells for each previous owner whether a grant call to it had no response when the move was planned; calls to it end there. If none has, only the new owner may execute a late grant, and the next leader releases the previous one without showing it a token. If one has, either it or the new owner may, so the next leader lets all grants of its predecessor expire before it grants the range. A call that is answered ends the time for late grants, since the server has then seen a higher token than all calls before it had.

Cost: keys whose previous owner had an unanswered grant and that were on the move as the leader was lost stay without an owner for up to 10.2 s. The stored form of the owners record changes; hosts of two versions do not read each other's.

--- a/src/gateway/cluster_codec.cc
+++ b/src/gateway/cluster_codec.cc
@@ -42,6 +42,11 @@
   archive(m.m_first, m.m_last, m.m_server, m.m_grant_confirmed);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, PackedPreviousOwner& m) {  // NOLINT
+  archive(m.m_range, m.m_owner.m_server, m.m_owner.m_has_late_grant);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, PackedOwners& m) {  // NOLINT
   archive(m.m_epoch, m.m_number, m.m_servers, m.m_ranges, m.m_previous_owners);
--- a/src/gateway/cluster_records.h
+++ b/src/gateway/cluster_records.h
@@ -56,6 +56,16 @@
   bool operator==(const LeaderLeaseRecord&) const = default;
 };
 
+/// A server whose earlier grants of a range may not have expired.
+struct PreviousOwner {
+  std::string m_server;
+
+  /// A grant call to the server had no response and may still be executed.
+  bool m_has_late_grant = false;
+
+  bool operator==(const PreviousOwner&) const = default;
+};
+
 /// Owner of a range of shard keys.
 struct OwnedRange {
   KeyRange m_range;
@@ -65,8 +75,8 @@
   /// Whether the owner has confirmed its grant.
   bool m_grant_confirmed = false;
 
-  /// Servers whose earlier grants of the range may not have expired.
-  std::vector<std::string> m_previous_owners;
+  /// The owner is granted the range once none of these is left.
+  std::vector<PreviousOwner> m_previous_owners;
 
   bool operator==(const OwnedRange&) const = default;
 };
--- a/src/gateway/directory_system.cc
+++ b/src/gateway/directory_system.cc
@@ -202,7 +202,8 @@
   return tables.m_ranges
       .FindIf([&server](const RangeRow& row) {
         return row.m_owner == server ||
-               std::ranges::count(row.m_previous_owners, server) > 0;
+               std::ranges::count(row.m_previous_owners, server,
+                                  &PreviousOwner::m_server) > 0;
       })
       .IsValid();
 }
--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -118,7 +118,11 @@
   bool m_may_be_granted = false;
 
   /// Servers whose earlier grants of the range may not have expired.
-  std::vector<std::string> m_previous_owners;
+  std::vector<PreviousOwner> m_previous_owners;
+
+  /// It is not known which of several servers may execute a late grant, so the
+  /// owner is granted the range only after all grants have expired.
+  bool m_must_expire = false;
 
   /// Handover data that the previous owner returned for the new one.
   std::string m_handover;
@@ -129,10 +133,9 @@
   /// `m_granted_until` without the grant call that is in flight.
   TimePoint m_prior_granted_until;
 
-  /// A grant call without a response may still be executed until this time.
-  /// `m_fenced_server` has seen a higher fencing token and rejects such a call.
+  /// A grant call to the owner without a response may still be executed until
+  /// this time.
   TimePoint m_late_grant_until;
-  std::string m_fenced_server;
 
   /// Number of the owners record that must be stored before the move goes on.
   uint64_t m_record_number = 0;
--- a/src/gateway/owners_change.cc
+++ b/src/gateway/owners_change.cc
@@ -30,8 +30,9 @@
     fmt::format_to(out, "|{} {} {} {} {}", owned.m_range.m_first,
                    owned.m_range.m_last, owned.m_server, owned.m_incarnation,
                    owned.m_grant_confirmed);
-    for (const std::string& server : owned.m_previous_owners) {
-      fmt::format_to(out, " {}", server);
+    for (const PreviousOwner& previous : owned.m_previous_owners) {
+      fmt::format_to(out, " {} {}", previous.m_server,
+                     previous.m_has_late_grant);
     }
   }
   return FastHash({text.data(), text.size()});
--- a/src/gateway/packed_owners.cc
+++ b/src/gateway/packed_owners.cc
@@ -41,8 +41,8 @@
          FindOrAddServer(packed.m_servers,
                          {owned.m_server, owned.m_incarnation}),
          owned.m_grant_confirmed});
-    for (const std::string& server : owned.m_previous_owners) {
-      packed.m_previous_owners.emplace_back(index, server);
+    for (const PreviousOwner& previous : owned.m_previous_owners) {
+      packed.m_previous_owners.push_back({index, previous});
     }
   }
   return packed;
@@ -60,8 +60,9 @@
                                range.m_grant_confirmed,
                                {}});
   }
-  for (const auto& [index, server] : packed.m_previous_owners) {
-    ElementAt(record.m_ranges, index).m_previous_owners.push_back(server);
+  for (const PackedPreviousOwner& previous : packed.m_previous_owners) {
+    ElementAt(record.m_ranges, previous.m_range)
+        .m_previous_owners.push_back(previous.m_owner);
   }
   return record;
 }
--- a/src/gateway/packed_owners.h
+++ b/src/gateway/packed_owners.h
@@ -2,7 +2,6 @@
 
 #include <cstdint>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "gateway/cluster_records.h"
@@ -26,6 +25,13 @@
   bool m_grant_confirmed = false;
 };
 
+/// A previous owner in a packed owners record. `m_range` is an index into
+/// `PackedOwners::m_ranges`.
+struct PackedPreviousOwner {
+  uint16_t m_range = 0;
+  PreviousOwner m_owner;
+};
+
 /// An owners record as it is stored and sent. Ranges refer to their servers by
 /// index, since most servers own several ranges and the record goes to all
 /// gateways at each move.
@@ -34,10 +40,7 @@
   uint64_t m_number = 0;
   std::vector<PackedServer> m_servers;
   std::vector<PackedRange> m_ranges;
-
-  /// Index of a range, and id of a server whose earlier grant of it may not
-  /// have expired.
-  std::vector<std::pair<uint16_t, std::string>> m_previous_owners;
+  std::vector<PackedPreviousOwner> m_previous_owners;
 };
 
 PackedOwners Pack(const OwnersRecord& record);
--- a/src/gateway/range_grant_system.cc
+++ b/src/gateway/range_grant_system.cc
@@ -59,9 +59,6 @@
                                      AddClockDrift(settings, ttl));
   row.m_call_in_flight = true;
   row.m_may_be_granted = true;
-  if (row.m_fenced_server == row.m_owner) {
-    row.m_fenced_server.clear();
-  }
   // A call may reach another life of the server than the call before it did,
   // and a call without a response may be executed after it.
   row.m_fence = IssueFencingToken(tables);
@@ -91,31 +88,33 @@
                           RangeId id,
                           RangeRow& row,
                           const Now& now) {
-  std::erase_if(row.m_previous_owners, [&tables](const std::string& server_id) {
-    const ServerRow* server = FindServer(tables, server_id);
+  std::erase_if(row.m_previous_owners, [&tables](const PreviousOwner& owner) {
+    const ServerRow* server = FindServer(tables, owner.m_server);
     return server && server->m_ended;
   });
   if (row.m_previous_owners.empty() || now.m_steady >= row.m_granted_until) {
     row.m_previous_owners.clear();
+    row.m_must_expire = false;
     row.m_phase = RangePhase::kGranting;
     SendGrant(tables, id, row, now);
     return;
   }
   tables.WakeAt(row.m_granted_until);
-  const ServerRow* previous = FindServer(tables, row.m_previous_owners.back());
+  const PreviousOwner& owner = row.m_previous_owners.back();
+  const ServerRow* previous = FindServer(tables, owner.m_server);
   const OwnershipSettings& settings = tables.m_settings;
   // A call whose effect could last beyond the expiry would delay the move.
   const Duration max_effect =
       settings.m_server_call_timeout +
       AddClockDrift(settings, settings.m_fencing_grant_ttl);
-  if (!previous || row.m_granted_until - now.m_steady < max_effect) {
+  if (!previous || row.m_must_expire ||
+      row.m_granted_until - now.m_steady < max_effect) {
     row.m_next_server_call_at = row.m_granted_until;
     return;
   }
   row.m_call_in_flight = true;
   const BackendServerEntry& entry = previous->m_entry;
-  if (now.m_steady < row.m_late_grant_until &&
-      row.m_fenced_server != entry.m_id && row.m_owner != entry.m_id) {
+  if (owner.m_has_late_grant && row.m_owner != entry.m_id) {
     FencePreviousOwner(tables, id, row, entry);
     return;
   }
@@ -250,7 +249,9 @@
 
 // Goes on with the move of a range that a previous owner no longer holds.
 void RemovePreviousOwner(RangeRow& row, const std::string& server) {
-  std::erase(row.m_previous_owners, server);
+  std::erase_if(row.m_previous_owners, [&server](const PreviousOwner& owner) {
+    return owner.m_server == server;
+  });
   row.m_next_server_call_at = TimePoint();
 }
 
@@ -266,8 +267,8 @@
   const bool fenced = outcome == ServerCallOutcome::kDone;
   row.m_next_server_call_at =
       now.m_steady + (fenced ? Duration() : settings.m_server_call_retry_delay);
-  if (fenced) {
-    row.m_fenced_server = command.m_server;
+  for (PreviousOwner& owner : row.m_previous_owners) {
+    owner.m_has_late_grant &= !fenced || owner.m_server != command.m_server;
   }
 }
 
@@ -303,14 +304,14 @@
   const OwnershipSettings& settings = tables.m_settings;
   row->m_call_in_flight = false;
   RecordCallOutcome(tables, command, outcome, now);
-  if (outcome == ServerCallOutcome::kUnknown) {
-    row->m_late_grant_until =
-        std::max(row->m_late_grant_until, row->m_granted_until);
-  }
   if (command.m_server != row->m_owner) {
     OnPreviousOwnerFenced(*row, command, outcome, settings, now);
     return;
   }
+  if (outcome == ServerCallOutcome::kUnknown) {
+    row->m_late_grant_until =
+        std::max(row->m_late_grant_until, row->m_granted_until);
+  }
   if (outcome == ServerCallOutcome::kReplaced) {
     row->m_may_be_granted = false;
   }
@@ -325,6 +326,8 @@
                                 {"outcome", NameOf(outcome)}}});
     return;
   }
+  // The server rejects all earlier calls from now on.
+  row->m_late_grant_until = TimePoint();
   row->m_granted_until =
       std::max(row->m_prior_granted_until,
                now.m_steady + AddClockDrift(settings, command.m_grant_ttl));
--- a/src/gateway/range_placement_system.cc
+++ b/src/gateway/range_placement_system.cc
@@ -161,8 +161,10 @@
     return row;
   }
   if (whole.m_may_be_granted) {
-    row.m_previous_owners.push_back(whole.m_owner);
+    row.m_previous_owners.push_back(
+        {whole.m_owner, now.m_steady < whole.m_late_grant_until});
   }
+  row.m_late_grant_until = TimePoint();
   row.m_may_be_granted = false;
   row.m_owner = planned.m_owner;
   const ServerRow* server = FindServer(tables, planned.m_owner);
--- a/tests/gateway/directory_system_test.cc
+++ b/tests/gateway/directory_system_test.cc
@@ -145,7 +145,7 @@
   RangeRow range;
   range.m_service = m_tables.m_services.Insert({});
   range.m_owner = "server-next";
-  range.m_previous_owners = {kOld};
+  range.m_previous_owners = {{kOld}};
   range.m_phase = RangePhase::kReleasing;
   range.m_granted_until = m_now.m_steady + seconds(10);
   range.m_owner_incarnation = 1;
--- a/tests/gateway/owners_change_test.cc
+++ b/tests/gateway/owners_change_test.cc
@@ -32,7 +32,7 @@
   ++record.m_number;
   const size_t at = random() % (record.m_ranges.size() - 1);
   OwnedRange& range = record.m_ranges[at];
-  range.m_previous_owners = {range.m_server};
+  range.m_previous_owners = {{range.m_server, random() % 2 == 0}};
   range.m_server = "server-" + std::to_string(random() % 386);
   range.m_grant_confirmed = random() % 2 == 0;
   OwnedRange next = record.m_ranges[at + 1];
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -152,7 +152,8 @@
   owners.m_epoch = 3;
   owners.m_number = 9;
   owners.m_ranges.push_back({{0, 99}, "i-1", 17, true, {}});
-  owners.m_ranges.push_back({{100, 199}, "i-2", 18, false, {"i-1", "i-3"}});
+  owners.m_ranges.push_back(
+      {{100, 199}, "i-2", 18, false, {{"i-1", false}, {"i-3", true}}});
   owners.m_ranges.push_back({{200, 65535}, "i-1", 19, true, {}});
   EXPECT_EQ(DecodeOwnersRecord(EncodeRecord(owners)), owners);
 }
@@ -181,7 +182,7 @@
   MemberReport report;
   report.m_loads.push_back({"s", {{4, 5}}});
   OwnersRecord owners;
-  owners.m_ranges.push_back({{0, 65535}, "i-1", 17, true, {"i-2"}});
+  owners.m_ranges.push_back({{0, 65535}, "i-1", 17, true, {{"i-2", true}}});
   RelayedRows relayed;
   relayed.m_rows = {{"a", "value", 8, false}};
   relayed.m_owners_changes = {
