--- a/tests/support/gateway_world.cc
+++ b/tests/support/gateway_world.cc
@@ -332,14 +332,45 @@
   }
   for (uint32_t i = 0; i < kSampledKeys; ++i) {
     if (command.m_keys.Contains(i * kKeysPerSample)) {
-      fake.m_grants[i] = {command.m_fence, command.m_fence,
-                          m_now + command.m_grant_ttl};
+      for (const FakeServer& other : m_servers) {
+        m_overlapping_grants += &other != &fake && other.HasGrant(i, m_now);
+      }
+      fake.m_grants[i] = {
+          command.m_fence, command.m_fence,
+          m_now + std::chrono::duration_cast<Duration>(command.m_grant_ttl *
+                                                       (1 + m_clock_drift))};
       RecordFence(i, server, command.m_fence);
     }
   }
   return ServerCallOutcome::kDone;
 }
 
+void GatewayWorld::ApplyRelease(size_t server, const KeyRange& keys) {
+  for (uint32_t i = 0; i < kSampledKeys; ++i) {
+    if (keys.Contains(i * kKeysPerSample)) {
+      m_servers[server].m_grants[i].m_until = TimePoint();
+    }
+  }
+}
+
+// Runs the action after the delay of late calls.
+void GatewayWorld::ScheduleLate(size_t server, std::function<void()> action) {
+  const int64_t incarnation = m_servers[server].m_incarnation;
+  m_scheduled.emplace(m_now + m_late_grant_delay,
+                      [this, server, incarnation, action = std::move(action)] {
+                        const FakeServer& fake = m_servers[server];
+                        if (fake.m_up && (fake.m_incarnation == incarnation ||
+                                          m_late_calls_outlive_servers)) {
+                          action();
+                        }
+                      });
+}
+
+bool GatewayWorld::Chance(double rate) {
+  std::uniform_real_distribution<double> chance(0, 1);
+  return chance(m_random) < rate;
+}
+
 void GatewayWorld::Execute(size_t host, const GrantCommand& command) {
   Schedule(host, m_hosts[host].m_call_delay,
            [this, host, command] { Send(host, command); });
@@ -352,24 +383,18 @@
 
 void GatewayWorld::Send(size_t host, const GrantCommand& command) {
   const size_t server = ServerAt(command.m_address);
-  const int64_t incarnation = m_servers[server].m_incarnation;
   ServerCallOutcome outcome = FindOutcome(host, server, command.m_server);
   const bool reached = outcome == ServerCallOutcome::kDone;
-  std::uniform_real_distribution<double> chance(0, 1);
-  if (reached && chance(m_random) < m_late_grant_rate) {
+  if (reached && Chance(m_late_grant_rate)) {
     outcome = ServerCallOutcome::kUnknown;
     // The TTL counts from the call's arrival, so the rest of it is applied.
     GrantCommand late = command;
     late.m_grant_ttl -= m_late_grant_delay;
-    m_scheduled.emplace(m_now + m_late_grant_delay,
-                        [this, server, incarnation, late] {
-                          const bool same_incarnation =
-                              m_servers[server].m_incarnation == incarnation;
-                          if (m_servers[server].m_up && same_incarnation &&
-                              late.m_grant_ttl > Duration(0)) {
-                            ApplyGrant(server, late);
-                          }
-                        });
+    ScheduleLate(server, [this, server, late] {
+      if (late.m_grant_ttl > Duration(0)) {
+        ApplyGrant(server, late);
+      }
+    });
   } else if (reached) {
     outcome = ApplyGrant(server, command);
   }
@@ -384,14 +409,15 @@
 
 void GatewayWorld::Send(size_t host, const ReleaseCommand& command) {
   const size_t server = ServerAt(command.m_address);
-  FakeServer& fake = m_servers[server];
-  const ServerCallOutcome outcome = FindOutcome(host, server, command.m_server);
-  if (outcome == ServerCallOutcome::kDone) {
-    for (uint32_t i = 0; i < kSampledKeys; ++i) {
-      if (command.m_keys.Contains(i * kKeysPerSample)) {
-        fake.m_grants[i].m_until = TimePoint();
-      }
-    }
+  ServerCallOutcome outcome = FindOutcome(host, server, command.m_server);
+  const bool reached = outcome == ServerCallOutcome::kDone;
+  if (reached && m_late_release_rate > 0 && Chance(m_late_release_rate)) {
+    outcome = ServerCallOutcome::kUnknown;
+    ScheduleLate(server, [this, server, keys = command.m_keys] {
+      ApplyRelease(server, keys);
+    });
+  } else if (reached) {
+    ApplyRelease(server, command.m_keys);
   }
   const Duration delay = outcome == ServerCallOutcome::kUnknown
                              ? command.m_timeout
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -146,6 +146,17 @@
   double m_late_grant_rate = 0;
   Duration m_late_grant_delay = std::chrono::seconds(3);
 
+  /// Fraction by which the servers' clocks run slow.
+  double m_clock_drift = 0;
+
+  /// Fraction of the release calls that time out and still take effect after
+  /// the same delay.
+  double m_late_release_rate = 0;
+
+  /// Calls that take effect late do so at whichever server has the address
+  /// then, not only at the one that they reached.
+  bool m_late_calls_outlive_servers = false;
+
   /// Fraction of the datagrams between hosts that are lost.
   double m_lost_datagram_rate = 0;
 
@@ -160,6 +171,10 @@
   /// the same one, had had the key under this fencing token or a higher one.
   size_t m_low_fences = 0;
 
+  /// Grants, fencing grants among them, that a server took while another one
+  /// had the key.
+  size_t m_overlapping_grants = 0;
+
   /// Limit on the clients' requests in place of their workspace's; unset for
   /// that.
   std::optional<RoutedWorkspace> m_client_limit;
@@ -196,6 +211,9 @@
                                 const std::string& id) const;
   ServerCallOutcome ApplyGrant(size_t server, const GrantCommand& command);
   void CountDoubleGrants();
+  void ApplyRelease(size_t server, const KeyRange& keys);
+  void ScheduleLate(size_t server, std::function<void()> action);
+  bool Chance(double rate);
   void RecordFence(uint32_t sample, size_t server, uint64_t fence);
   void Schedule(size_t host, Duration delay, std::function<void()> action);
   bool ReachesStore(size_t host) const;
