A new leader waits for calls that its predecessor has just sent

What callers saw: found by the review; two servers hold the same keys (OWNER) for up to 60 ms, after a leader that the store refuses has granted keys for the time of an outage.

Cause: a new leader counted the longest TTL of its predecessor's grants from the time at which it read the owners. A call that was decided on just before the predecessor's authority ended arrives up to the call's timeout later, and its TTL counts from its arrival.

Change: the timeout of a call is added.

Evidence: OutageTtlTest, offsets 0 and 50 ms, failed before with 11 keys; the reviewer's run by hand failed on 8 of 70 offsets before and on none with the change. Unit tests pass, 245 of 245.

--- a/src/gateway/owners_system.cc
+++ b/src/gateway/owners_system.cc
@@ -26,9 +26,10 @@
                    const OwnersRecord& record,
                    const Now& now) {
   const OwnershipSettings& settings = tables.m_settings;
-  // All grants of the preceding leader have expired by this time.
+  // All grants of the preceding leader have expired by this time. Its last call
+  // may arrive at the server after this read.
   const TimePoint granted_until =
-      now.m_steady +
+      now.m_steady + settings.m_server_call_timeout +
       std::chrono::duration_cast<Duration>(settings.m_outage_grant_ttl *
                                            (1 + settings.m_clock_drift));
   for (const OwnedRange& owned : record.m_ranges) {
