The log names both servers when one replaces another at its address

What on-call engineers saw: a key went to a server 13 ms after its start with the token of the server before it at that address. The leader's log had one line for the new server and one for the former, without address or start, so nothing connected the two; a later start under the same id had no line at all.

Cause: registrations were logged with service and id only.

Change: the leader writes `server_replaced` (315) with the address, both ids and both starts, once for each server that has ended, and for a later start under the same id.

Tests that failed before: ReplacedServerTest.ReplacementIsLoggedOnceByTheLeader (0 lines instead of 1) and ReplacedServerTest.LaterStartOfAServerIsLogged.

--- a/src/core/event.cc
+++ b/src/core/event.cc
@@ -71,6 +71,11 @@
               "order server partition epoch outcome",
               "A grant call or release call was not confirmed."},
     EventInfo{kOutageHolds, "outage_holds", "",
+    EventInfo{kServerReplaced, "server_replaced",
+              "cell address server incarnation successor "
+              "successor_incarnation",
+              "A younger backend server, or a later start of this one, has "
+              "registered."},
               "The store does not respond to the leader; grants get the "
               "maximum TTL."},
     EventInfo{kEvacuationChanged, "evacuation_changed", "data_centres",
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -42,6 +42,7 @@
   kDispatcherAppointed = 320,
   kDispatcherLapsed = 321,
   kOrderFailed = 330,
+  kServerReplaced = 315,
   kOutageHolds = 331,
   kEvacuationChanged = 340,
   kTokensIssued = 350,
--- a/src/gateway/directory_system.cc
+++ b/src/gateway/directory_system.cc
@@ -46,6 +46,24 @@
   }
 }
 
+// Logs, at the leader only, that a server has ended because a younger one is at
+// its address. The younger one may have the same id.
+void LogReplacedServer(GatewayTables& tables,
+                       const BackendServerEntry& entry,
+                       const BackendServerEntry& successor) {
+  if (tables.m_leader_lease.m_phase != LeaderLeasePhase::kLeader) {
+    return;
+  }
+  tables.m_events.push_back(
+      {EventNumber::kServerReplaced,
+       {{"cell", entry.m_service},
+        {"address", entry.m_address},
+        {"server", entry.m_id},
+        {"incarnation", entry.m_incarnation},
+        {"successor", successor.m_id},
+        {"successor_incarnation", successor.m_incarnation}}});
+}
+
 void Deregister(GatewayTables& tables, ServerRow& server, TimePoint since) {
   server.m_missing = false;
   server.m_registered = false;
@@ -87,6 +105,12 @@
       return;
     }
     server.m_ended = true;
+    const BackendServerEntry& youngest =
+        youngest_at[server.m_entry.m_address]->m_entry;
+    if (server.m_replaced_by.empty()) {
+      LogReplacedServer(tables, server.m_entry, youngest);
+    }
+    server.m_replaced_by = youngest.m_id;
     if (server.m_registered) {
       Deregister(tables, server, now.m_steady);
     }
@@ -307,10 +331,14 @@
   if (server->m_ended && !restarted) {
     return false;
   }
+  if (!is_new && entry.m_incarnation > server->m_entry.m_incarnation) {
+    LogReplacedServer(tables, server->m_entry, entry);
+  }
   const bool appeared = is_new || restarted || !server->m_registered;
   if (appeared) {
     server->m_consecutive_failures = 0;
     server->m_ended = false;
+    server->m_replaced_by.clear();
   }
   server->m_leaving = server->m_leaving && !restarted;
   if (entry.m_draining && !server->m_entry.m_draining) {
--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -85,6 +85,9 @@
   TimePoint m_failing_since;
 };
 
+  /// The younger server at the address, once its registration was read.
+  std::string m_replaced_by;
+
 /// Phases of moving a range to a new owner.
 enum class RangePhase {
   /// No server may own the range at the moment.
--- a/tests/gateway/directory_system_test.cc
+++ b/tests/gateway/directory_system_test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <map>
+
 #include "gateway/cluster_codec.h"
 #include "gateway/range_grant_system.h"
 #include "gateway/routing_snapshot.h"
@@ -157,6 +160,43 @@
   EXPECT_EQ(grant->m_server, "server-next");
 }
 
+// Nothing in the log told which server had taken over an address, and when the
+// two had started.
+TEST_F(ReplacedServerTest, ReplacementIsLoggedOnceByTheLeader) {
+  m_tables.m_leader_lease.m_phase = LeaderLeasePhase::kLeader;
+  Apply(kOld, 1);
+  ApplyRows({{kNew, "10.1.0.2:80 dc-1 0 5", 2, false}}, false);
+  ApplyRows({{kNew, "10.1.0.2:80 dc-1 0 5", 3, false}}, false);
+  const auto is_replaced = [](const PendingEvent& event) {
+    return std::ranges::any_of(event.m_fields, [](const EventField& field) {
+      return field.m_name == "successor";
+    });
+  };
+  ASSERT_EQ(std::ranges::count_if(m_tables.m_events, is_replaced), 1);
+  const PendingEvent& event =
+      *std::ranges::find_if(m_tables.m_events, is_replaced);
+  std::map<std::string_view, std::variant<int64_t, std::string>> fields;
+  for (const EventField& field : event.m_fields) {
+    fields[field.m_name] = field.m_value;
+  }
+  const std::map<std::string_view, std::variant<int64_t, std::string>>
+      expected = {{"cell", "catalogue"}, {"address", "10.1.0.2:80"},
+                  {"server", kOld},      {"incarnation", int64_t{1}},
+                  {"successor", kNew},   {"successor_incarnation", int64_t{5}}};
+  EXPECT_EQ(fields, expected);
+}
+
+TEST_F(ReplacedServerTest, LaterStartOfAServerIsLogged) {
+  m_tables.m_leader_lease.m_phase = LeaderLeasePhase::kLeader;
+  Apply(kOld, 1);
+  ApplyRows({{kOld, "10.1.0.2:80 dc-1 0 5", 2, false}}, false);
+  const PendingEvent& event = m_tables.m_events.back();
+  const auto field = std::ranges::find(event.m_fields, "successor_incarnation",
+                                       &EventField::m_name);
+  ASSERT_NE(field, event.m_fields.end());
+  EXPECT_EQ(std::get<int64_t>(field->m_value), 5);
+}
+
 // A datagram to such an address cannot be sent: the message did not reach the
 // members after it in the list, and a relay stopped receiving.
 TEST(DirectorySystemTest, MemberWithAnUnusableAddressIsIgnored) {
