The leader's log has a bounded number of lines for moves and failed calls

A failed call told neither the address nor the start of the server that was called, and a release that another server rejected was not logged at all.

Cause: one line for each range and each call, at whatever rate they came.

Change: a system of its own, GrantLogSystem, sums up. - The moves of one step are in `partitions_moving` (303), those that were confirmed within 0.1 s in `partitions_moved` (304); each range is named with from and to, token and duration. - A takeover is one `owners_taken_over` line (305), with the ranges that are not confirmed; it is repeated each second until there are none. - `assignment_recorded` is written for records with moves, and counts them. - `order_failed` has address, incarnation and the number of calls: the first failure of a server and outcome at once, then a sum each 5 s. It is also written for outcome `replaced` of a release, and for grants that only fence a previous owner. - `server_down` is not repeated within a second of the failure before.

--- a/src/core/event.cc
+++ b/src/core/event.cc
@@ -52,6 +52,15 @@
     EventInfo{kPartitionMoveFinished, "partition_move_finished",
               "cell partition server epoch milliseconds",
               "The new owner may receive requests."},
+    EventInfo{kPartitionsMoving, "partitions_moving", "cell count ranges",
+              "Moves decided on in one step, as FROM>TO:RANGE,RANGE."},
+    EventInfo{kPartitionsMoved, "partitions_moved", "cell count ranges",
+              "New owners that have confirmed grants, as SERVER:RANGE@TOKEN+MS "
+              "with the time since the move began."},
+    EventInfo{kOwnersTakenOver, "owners_taken_over",
+              "cell confirmed longest_ms unconfirmed ranges",
+              "Recorded owners that have confirmed a new leader's grants since "
+              "it took over, and the ranges of those that have not."},
     EventInfo{kServerDown, "server_down", "cell server",
               "Probes or dispatchers found the backend server unreachable."},
     EventInfo{kServerUp, "server_up", "cell server",
@@ -62,20 +71,21 @@
               "The backend server is no longer registered."},
     EventInfo{kServerDraining, "server_draining", "cell server",
               "The backend server accepts no new work and is about to stop."},
+    EventInfo{kServerReplaced, "server_replaced",
+              "cell address server incarnation successor "
+              "successor_incarnation",
+              "A younger backend server, or a later start of this one, has "
+              "registered."},
     EventInfo{kDispatcherAppointed, "dispatcher_appointed",
               "cell server dispatcher",
               "An entry received the dispatch lease of a backend server."},
     EventInfo{kDispatcherLapsed, "dispatcher_lapsed", "cell server dispatcher",
               "A dispatch lease expired or was released."},
     EventInfo{kOrderFailed, "order_failed",
-              "order server partition epoch outcome",
-              "A grant call or release call was not confirmed."},
+              "order server address incarnation partition epoch outcome calls",
+              "Grant calls or release calls to a backend server were not "
+              "confirmed. Range and token are those of the first."},
     EventInfo{kOutageHolds, "outage_holds", "",
-    EventInfo{kServerReplaced, "server_replaced",
-              "cell address server incarnation successor "
-              "successor_incarnation",
-              "A younger backend server, or a later start of this one, has "
-              "registered."},
               "The store does not respond to the leader; grants get the "
               "maximum TTL."},
     EventInfo{kEvacuationChanged, "evacuation_changed", "data_centres",
--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -17,6 +17,7 @@
 #include "gateway/cluster_codec.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/member_contact.h"
+#include "gateway/server_control.h"
 #include "gateway/slice_weights.h"
 #include "gateway/speed_estimate.h"
 #include "routing/route_index.h"
@@ -29,10 +30,14 @@
 struct ServerRow;
 struct ServiceRow;
 struct RangeRow;
+struct ConfirmedMoveRow;
+struct FailedCallsRow;
 using MemberId = TypedId<MemberRow>;
 using ServerId = TypedId<ServerRow>;
 using ServiceId = TypedId<ServiceRow>;
 using RangeId = TypedId<RangeRow>;
+using ConfirmedMoveId = TypedId<ConfirmedMoveRow>;
+using FailedCallsId = TypedId<FailedCallsRow>;
 
 /// A gateway process registered in the cluster table.
 struct MemberRow {
@@ -80,14 +85,14 @@
   /// A younger server has the address, so this one has ended and holds no keys.
   bool m_ended = false;
 
+  /// The younger server at the address, once its registration was read.
+  std::string m_replaced_by;
+
   /// Number of consecutive failed calls, and the time of the first of them.
   uint32_t m_consecutive_failures = 0;
   TimePoint m_failing_since;
 };
 
-  /// The younger server at the address, once its registration was read.
-  std::string m_replaced_by;
-
 /// Phases of moving a range to a new owner.
 enum class RangePhase {
   /// No server may own the range at the moment.
@@ -117,6 +122,9 @@
   uint64_t m_fence = 0;
   RangePhase m_phase = RangePhase::kUnowned;
 
+  /// The owner was recorded by an earlier leader.
+  bool m_taken_over = false;
+
   /// A grant call to the owner was sent and may have been executed.
   bool m_may_be_granted = false;
 
@@ -147,6 +155,15 @@
   TimePoint m_move_started_at;
 };
 
+/// Grants to the recorded owners of a service by a leader that has taken over,
+/// for the log.
+struct TakeoverSummary {
+  /// When the next line is due; unset if there is nothing to tell.
+  TimePoint m_next_summary_at;
+  uint64_t m_confirmed = 0;
+  Duration m_longest{};
+};
+
 /// A sharded service and its owners row in the store.
 struct ServiceRow {
   std::string m_name;
@@ -172,6 +189,44 @@
   std::vector<uint32_t> m_slice_requests = std::vector<uint32_t>(kSlices);
   std::vector<float> m_slice_rates = std::vector<float>(kSlices);
   TimePoint m_last_smoothed_at;
+
+  TakeoverSummary m_takeover;
+};
+
+/// A move that has been decided on.
+struct StartedMove {
+  KeyRange m_range;
+  std::string m_from;
+  std::string m_to;
+};
+
+/// A move whose new owner has confirmed its grant, until it is logged.
+struct ConfirmedMoveRow {
+  std::string m_service;
+  std::string m_server;
+  KeyRange m_range;
+  uint64_t m_fence = 0;
+  Duration m_elapsed{};
+  TimePoint m_confirmed_at;
+};
+
+/// A grant or release call that was not confirmed.
+struct FailedCall {
+  std::string m_order;
+  std::string m_server;
+  std::string m_address;
+  int64_t m_incarnation = 0;
+  KeyRange m_keys;
+  uint64_t m_fence = 0;
+  ServerCallOutcome m_outcome = ServerCallOutcome::kUnknown;
+};
+
+/// Failed calls to one server with one outcome that have not been logged yet:
+/// their number and the first of them.
+struct FailedCallsRow {
+  FailedCall m_first;
+  uint64_t m_calls = 0;
+  TimePoint m_due_at;
 };
 
 /// Role of this process in leader election.
@@ -344,6 +399,8 @@
   Table<ServerRow> m_servers;
   Table<ServiceRow> m_services;
   Table<RangeRow> m_ranges;
+  Table<ConfirmedMoveRow> m_confirmed_moves;
+  Table<FailedCallsRow> m_failed_calls;
   std::map<std::string, ServerId> m_servers_by_id;
 
   /// Stored owners record of each service, for routing.
--- a/src/gateway/gateway_tick.cc
+++ b/src/gateway/gateway_tick.cc
@@ -1,6 +1,7 @@
 #include "gateway/gateway_tick.h"
 
 #include "gateway/directory_system.h"
+#include "gateway/grant_log_system.h"
 #include "gateway/leadership_system.h"
 #include "gateway/member_system.h"
 #include "gateway/owners_system.h"
@@ -32,6 +33,8 @@
   RangeGrantSystem::Run(tables, now);
   // 6. Keep this process registered; at the leader, deregister silent members.
   MemberSystem::Run(tables, now);
+  // 7. Log what became of moves and calls to servers.
+  GrantLogSystem::Run(tables, now);
 }
 
 }  // namespace foxtail
--- a/src/gateway/owners_system.cc
+++ b/src/gateway/owners_system.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/error.h"
+#include "gateway/grant_log_system.h"
 
 namespace foxtail {
 namespace {
@@ -37,6 +38,7 @@
     row.m_range = owned.m_range;
     row.m_owner = owned.m_server;
     row.m_owner_incarnation = owned.m_incarnation;
+    row.m_taken_over = true;
     row.m_may_be_granted = true;
     row.m_previous_owners = owned.m_previous_owners;
     // Either the previous owner still has the late grant, or it was fenced and
@@ -86,18 +88,36 @@
       ReadRowCommand{kClusterTable, OwnersKey(service)});
 }
 
-// Starts the next phase of the ranges whose new owner is now recorded.
-void AdvanceRecordedRanges(GatewayTables& tables,
-                           ServiceId id,
-                           uint64_t number) {
+// Starts the next phase of the ranges whose new owner is now recorded. Returns
+// the number of moves among them.
+size_t AdvanceRecordedRanges(GatewayTables& tables,
+                             ServiceId id,
+                             uint64_t number) {
+  size_t moves = 0;
   tables.m_ranges.ForEach([&](RangeId, RangeRow& row) {
     if (row.m_service == id && row.m_phase == RangePhase::kRecording &&
         row.m_record_number <= number) {
       row.m_phase = row.m_previous_owners.empty() ? RangePhase::kGranting
                                                   : RangePhase::kReleasing;
       row.m_next_server_call_at = TimePoint();
+      moves += row.m_taken_over ? 0 : 1;
     }
   });
+  return moves;
+}
+
+// A record without moves only confirms moves that are logged as such.
+void LogRecordedMoves(GatewayTables& tables,
+                      const ServiceRow& service,
+                      size_t moves) {
+  if (moves > 0) {
+    tables.m_events.push_back(
+        {EventNumber::kAssignmentRecorded,
+         {{"cell", service.m_name},
+          {"epoch", tables.m_leader_lease.m_record.m_epoch},
+          {"version", service.m_record_number},
+          {"moves", moves}}});
+  }
 }
 
 }  // namespace
@@ -159,6 +179,9 @@
   service->m_record_number = record.m_number;
   RestoreRanges(tables, id, record, now);
   service->m_dirty = !record.m_ranges.empty();
+  if (service->m_dirty) {
+    GrantLogSystem::OnTakeoverStarted(*service, now);
+  }
 }
 
 void OwnersSystem::OnWritten(GatewayTables& tables,
@@ -175,13 +198,9 @@
     service->m_row_version = result.m_version;
     tables.m_progress[kClusterRows].RecordKnownVersion(result.m_version,
                                                        now.m_steady);
-    AdvanceRecordedRanges(tables, id, service->m_record_number);
-    tables.m_events.push_back(
-        {EventNumber::kAssignmentRecorded,
-         {{"cell", service->m_name},
-          {"epoch", tables.m_leader_lease.m_record.m_epoch},
-          {"version", service->m_record_number},
-          {"moves", 0}}});
+    LogRecordedMoves(
+        tables, *service,
+        AdvanceRecordedRanges(tables, id, service->m_record_number));
     return;
   }
   service->m_dirty = true;
--- a/src/gateway/range_grant_system.cc
+++ b/src/gateway/range_grant_system.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "gateway/grant_log_system.h"
+
 namespace foxtail {
 namespace {
 
@@ -12,6 +14,10 @@
 // outage.
 constexpr std::chrono::milliseconds kOutageAuthorityThreshold{850};
 
+// A server that fails again this soon after a failure is not logged as down
+// once more.
+constexpr std::chrono::milliseconds kServerDownLogInterval{1000};
+
 Duration AddClockDrift(const OwnershipSettings& settings, Duration ttl) {
   return std::chrono::duration_cast<Duration>(ttl *
                                               (1 + settings.m_clock_drift));
@@ -219,12 +225,31 @@
     return;
   }
   server->m_ended = server->m_ended || outcome == ServerCallOutcome::kReplaced;
-  if (server->m_consecutive_failures++ == 0) {
-    server->m_failing_since = now.m_steady;
+  if (server->m_consecutive_failures++ > 0) {
+    return;
+  }
+  // Each failed call is also part of an `order_failed` line.
+  if (now.m_steady - server->m_failing_since >= kServerDownLogInterval) {
     tables.m_events.push_back(
         {EventNumber::kServerDown,
          {{"cell", server->m_entry.m_service}, {"server", command.m_server}}});
   }
+  server->m_failing_since = now.m_steady;
+}
+
+template <typename Command>
+void LogIfFailed(GatewayTables& tables,
+                 const std::string& order,
+                 const Command& command,
+                 ServerCallOutcome outcome,
+                 const Now& now) {
+  if (outcome != ServerCallOutcome::kDone) {
+    GrantLogSystem::OnCallFailed(
+        tables,
+        {order, command.m_server, command.m_address, command.m_incarnation,
+         command.m_keys, command.m_fence, outcome},
+        now);
+  }
 }
 
 void ConfirmGrant(GatewayTables& tables, RangeRow& row, const Now& now) {
@@ -237,14 +262,7 @@
   service.m_dirty = true;
   row.m_phase = RangePhase::kStable;
   row.m_handover.clear();
-  const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
-      now.m_steady - row.m_move_started_at);
-  tables.m_events.push_back({EventNumber::kPartitionMoveFinished,
-                             {{"cell", service.m_name},
-                              {"partition", NameOf(row.m_range)},
-                              {"server", row.m_owner},
-                              {"epoch", row.m_fence},
-                              {"milliseconds", elapsed.count()}}});
+  GrantLogSystem::OnGrantConfirmed(tables, row, now);
 }
 
 // Goes on with the move of a range that a previous owner no longer holds.
@@ -297,6 +315,7 @@
                                  const GrantCommand& command,
                                  ServerCallOutcome outcome,
                                  const Now& now) {
+  LogIfFailed(tables, "grant", command, outcome, now);
   RangeRow* row = tables.m_ranges.Find(command.m_range);
   if (!row) {
     return;
@@ -318,12 +337,6 @@
   if (outcome != ServerCallOutcome::kDone) {
     row->m_next_server_call_at =
         now.m_steady + settings.m_server_call_retry_delay;
-    tables.m_events.push_back({EventNumber::kOrderFailed,
-                               {{"order", "grant"},
-                                {"server", command.m_server},
-                                {"partition", NameOf(command.m_keys)},
-                                {"epoch", command.m_fence},
-                                {"outcome", NameOf(outcome)}}});
     return;
   }
   // The server rejects all earlier calls from now on.
@@ -342,6 +355,7 @@
                                   ServerCallOutcome outcome,
                                   const std::string& handover,
                                   const Now& now) {
+  LogIfFailed(tables, "release", command, outcome, now);
   RangeRow* row = tables.m_ranges.Find(command.m_range);
   if (!row) {
     return;
@@ -353,14 +367,7 @@
       outcome == ServerCallOutcome::kReplaced) {
     row->m_handover = handover.empty() ? row->m_handover : handover;
     RemovePreviousOwner(*row, command.m_server);
-    return;
   }
-  tables.m_events.push_back({EventNumber::kOrderFailed,
-                             {{"order", "release"},
-                              {"server", command.m_server},
-                              {"partition", NameOf(command.m_keys)},
-                              {"epoch", command.m_fence},
-                              {"outcome", NameOf(outcome)}}});
 }
 
 }  // namespace foxtail
--- a/src/gateway/range_placement_system.cc
+++ b/src/gateway/range_placement_system.cc
@@ -6,6 +6,7 @@
 #include <set>
 #include <string_view>
 
+#include "gateway/grant_log_system.h"
 #include "gateway/range_planner.h"
 
 namespace foxtail {
@@ -164,6 +165,7 @@
     row.m_previous_owners.push_back(
         {whole.m_owner, now.m_steady < whole.m_late_grant_until});
   }
+  row.m_taken_over = false;
   row.m_late_grant_until = TimePoint();
   row.m_may_be_granted = false;
   row.m_owner = planned.m_owner;
@@ -184,6 +186,7 @@
                const Now& now) {
   ServiceRow& service = tables.m_services.Get(service_id);
   bool changed = false;
+  std::vector<StartedMove> moves;
   for (size_t i = 0; i < ranges.m_ids.size(); ++i) {
     const RangeRow whole = tables.m_ranges.Get(ranges.m_ids[i]);
     std::vector<PlannedRange> pieces;
@@ -203,17 +206,14 @@
       RangeRow row =
           BuildPieceRow(tables, whole, piece, service.m_record_number + 1, now);
       if (row.m_owner != whole.m_owner) {
-        tables.m_events.push_back({EventNumber::kPartitionMoveStarted,
-                                   {{"cell", service.m_name},
-                                    {"partition", NameOf(piece.m_range)},
-                                    {"from", whole.m_owner},
-                                    {"to", row.m_owner}}});
+        moves.push_back({piece.m_range, whole.m_owner, row.m_owner});
       }
       tables.m_ranges.Insert(std::move(row));
       changed = true;
     }
   }
   service.m_dirty = service.m_dirty || changed;
+  GrantLogSystem::OnMovesStarted(tables, service.m_name, moves);
 }
 
 // Adds the first range of a service: all keys, without an owner.
