Moves of late grants go on under the next leader

Cause: a record with a late grant did not tell whether the owner had been granted the range, so the next leader had to let all grants expire.

Change: such a range is recorded once more, without its previous owner, before the owner is granted it. A record that names a late grant says now that the owner has none, so the next leader fences and releases the previous owner at once. Only moves of ranges with an unanswered grant take this write, and moves of one time share it. While the store does not answer such a range is not released, as it would have no owner until the store is back. Releases have a token of their own too: after a change of leader they carried 0.

--- a/src/gateway/cluster_records.h
+++ b/src/gateway/cluster_records.h
@@ -75,7 +75,8 @@
   /// Whether the owner has confirmed its grant.
   bool m_grant_confirmed = false;
 
-  /// The owner is granted the range once none of these is left.
+  /// The owner is granted the range once none of these is left. If one of them
+  /// has a late grant, only once that is recorded.
   std::vector<PreviousOwner> m_previous_owners;
 
   bool operator==(const OwnedRange&) const = default;
--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -131,9 +131,9 @@
   /// Servers whose earlier grants of the range may not have expired.
   std::vector<PreviousOwner> m_previous_owners;
 
-  /// It is not known which of several servers may execute a late grant, so the
-  /// owner is granted the range only after all grants have expired.
-  bool m_must_expire = false;
+  /// The record says that a previous owner has a late grant, and so that the
+  /// owner has not been granted the range yet.
+  bool m_late_grant_recorded = false;
 
   /// Handover data that the previous owner returned for the new one.
   std::string m_handover;
--- a/src/gateway/owners_system.cc
+++ b/src/gateway/owners_system.cc
@@ -40,13 +40,10 @@
     row.m_owner = owned.m_server;
     row.m_owner_incarnation = owned.m_incarnation;
     row.m_taken_over = true;
-    row.m_may_be_granted = true;
     row.m_previous_owners = owned.m_previous_owners;
-    // Either the previous owner still has the late grant, or it was fenced and
-    // released and the owner has been granted the range. A token shown to one
-    // of them would be above that of a late grant to the other.
-    row.m_must_expire = std::ranges::any_of(owned.m_previous_owners,
-                                            &PreviousOwner::m_has_late_grant);
+    row.m_late_grant_recorded = std::ranges::any_of(
+        owned.m_previous_owners, &PreviousOwner::m_has_late_grant);
+    row.m_may_be_granted = !row.m_late_grant_recorded;
     row.m_phase = RangePhase::kRecording;
     row.m_record_number = record.m_number + 1;
     row.m_granted_until = granted_until;
--- a/src/gateway/range_grant_system.cc
+++ b/src/gateway/range_grant_system.cc
@@ -90,6 +90,16 @@
       row.m_range, row.m_fence, tables.m_settings.m_fencing_grant_ttl, ""});
 }
 
+// A successor could not tell whether the late grant is one to a previous owner
+// or one to the owner, and must show its token to that server only.
+void RecordReleasedRange(GatewayTables& tables, RangeRow& row) {
+  ServiceRow& service = tables.m_services.Get(row.m_service);
+  row.m_late_grant_recorded = false;
+  row.m_phase = RangePhase::kRecording;
+  row.m_record_number = service.m_record_number + 1;
+  service.m_dirty = true;
+}
+
 // A previous owner with a late grant is fenced by a grant, so it is called only
 // once no other one may still own the range.
 const PreviousOwner& NextToRelease(const RangeRow& row) {
@@ -109,7 +119,10 @@
   });
   if (row.m_previous_owners.empty() || now.m_steady >= row.m_granted_until) {
     row.m_previous_owners.clear();
-    row.m_must_expire = false;
+    if (row.m_late_grant_recorded) {
+      RecordReleasedRange(tables, row);
+      return;
+    }
     row.m_phase = RangePhase::kGranting;
     SendGrant(tables, id, row, now);
     return;
@@ -122,8 +135,13 @@
   const Duration max_effect =
       settings.m_server_call_timeout +
       AddClockDrift(settings, settings.m_fencing_grant_ttl);
-  if (!previous || row.m_must_expire ||
-      row.m_granted_until - now.m_steady < max_effect) {
+  // Once released, such a range has no owner until the store has answered.
+  if (row.m_late_grant_recorded && tables.m_leader_lease.m_outage_ttl_active) {
+    row.m_next_server_call_at =
+        now.m_steady + settings.m_server_call_retry_delay;
+    return;
+  }
+  if (!previous || row.m_granted_until - now.m_steady < max_effect) {
     row.m_next_server_call_at = row.m_granted_until;
     return;
   }
@@ -138,7 +156,7 @@
   // Servers accept a release with any fencing token.
   tables.m_outbox.emplace_back(
       ReleaseCommand{id, entry.m_id, entry.m_incarnation, entry.m_address,
-                     row.m_range, row.m_fence, timeout});
+                     row.m_range, IssueFencingToken(tables), timeout});
 }
 
 struct PhaseEntry {
--- a/src/gateway/range_placement_system.cc
+++ b/src/gateway/range_placement_system.cc
@@ -167,6 +167,8 @@
   }
   row.m_taken_over = false;
   row.m_late_grant_until = TimePoint();
+  row.m_late_grant_recorded = std::ranges::any_of(
+      row.m_previous_owners, &PreviousOwner::m_has_late_grant);
   row.m_may_be_granted = false;
   row.m_owner = planned.m_owner;
   const ServerRow* server = FindServer(tables, planned.m_owner);
--- a/tests/gateway/fencing_test.cc
+++ b/tests/gateway/fencing_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "gateway/range_grant_system.h"
 #include "support/gateway_world.h"
 
@@ -86,9 +88,21 @@
   EXPECT_GT(world.CountGrantedKeysOf(0), 0U);
 }
 
-// Runs until the leader asks previous owners to release their ranges, and kills
-// the leader before the calls have left. Returns whether it came to that.
-bool KillLeaderAtReleases(GatewayWorld& world) {
+bool IsReleasing(const RangeRow& row) {
+  return row.m_phase == RangePhase::kReleasing;
+}
+
+bool IsReleasingWithLateGrant(const RangeRow& row) {
+  return IsReleasing(row) &&
+         std::ranges::any_of(row.m_previous_owners,
+                             &PreviousOwner::m_has_late_grant);
+}
+
+// Runs until the leader asks the previous owner of such a range to release it,
+// and kills the leader before the call has left. Returns whether it came to
+// that.
+bool KillLeaderAtRelease(GatewayWorld& world,
+                         bool (*is_such)(const RangeRow&) = &IsReleasing) {
   for (int step = 0; step < 200; ++step) {
     world.Run(milliseconds(10));
     const size_t leader = world.Leader();
@@ -96,9 +110,7 @@
       continue;
     }
     const RangeId releasing =
-        world.m_hosts[leader].m_tables.m_ranges.FindIf([](const RangeRow& row) {
-          return row.m_phase == RangePhase::kReleasing;
-        });
+        world.m_hosts[leader].m_tables.m_ranges.FindIf(is_such);
     if (releasing.IsValid()) {
       world.Kill(leader);
       return true;
@@ -114,7 +126,7 @@
   GatewayWorld world(5, 6);
   world.Run(seconds(3));
   world.SetEvacuated("dc-0", true);
-  ASSERT_TRUE(KillLeaderAtReleases(world));
+  ASSERT_TRUE(KillLeaderAtRelease(world));
   world.SetEvacuated("dc-0", false);
   world.SetEvacuated("dc-1", true);
   world.Run(seconds(6));
@@ -124,6 +136,22 @@
   EXPECT_EQ(world.m_overlapping_grants, 0U);
 }
 
+// Keys on the move from servers with unanswered grants had no owner for 10.9 s
+// after the leader was killed, and again after each later change of leader.
+TEST(FencingTest, NextLeaderGoesOnWithMovesOfLateGrants) {
+  GatewayWorld world(5, 6);
+  world.Run(seconds(3));
+  world.m_late_grant_rate = 0.5;
+  world.Run(seconds(2));
+  world.SetEvacuated("dc-0", true);
+  ASSERT_TRUE(KillLeaderAtRelease(world, &IsReleasingWithLateGrant));
+  world.m_late_grant_rate = 0;
+  world.Run(seconds(5));
+  EXPECT_EQ(world.CountGrantedKeys(), kSampledKeys);
+  EXPECT_EQ(world.m_double_grants, 0U);
+  EXPECT_EQ(world.m_low_fences, 0U);
+}
+
 /// A leader loses the store at some time, in milliseconds, after a fixed one.
 class OutageTtlTest : public testing::TestWithParam<int> {};
 
