Members probe the servers' rows only some time after relaying ended

Cause: lets a member that has watched by itself for some time probe the servers' rows. That time counts from the end of relaying, but each response of a leader that does not relay set this end to the beginning of time. While the store answered 503 (18.0 to 22.5 s), the probe was due at once and, as it failed, at each check: 295 members made about 890 more calls a second.

Change: a response without relaying ends the time at once if it lies ahead, and otherwise leaves it.

Failed before: RelayTest.MemberProbesTheServersOnlySomeTimeAfterTheLeaderStops- Relaying. All 247 unit tests pass.

--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -331,7 +331,7 @@
   std::array<WatchProgress, kWatchedKinds> m_progress;
 
   /// The leader relays row changes; until this time the store need not be
-  /// watched.
+  /// watched. Once it has passed, this process has watched by itself since.
   TimePoint m_relayed_until;
 
   /// When the newest read of the operators' rows was sent, by this process or
--- a/src/gateway/member_system.cc
+++ b/src/gateway/member_system.cc
@@ -362,7 +362,8 @@
     return;
   }
   RecordLeaderProgress(tables, response, now);
-  tables.m_relayed_until = TimePoint();
+  // Kept if it has passed: it tells since when this process watches by itself.
+  tables.m_relayed_until = std::min(tables.m_relayed_until, now.m_steady);
   if (response.m_relaying) {
     tables.m_relayed_until =
         now.m_steady + tables.m_settings.m_relay_silence_timeout;
--- a/tests/gateway/relay_test.cc
+++ b/tests/gateway/relay_test.cc
@@ -101,6 +101,10 @@
     MemberSystem::OnReportResponse(m_tables, response, m_now);
   }
 
+  void HearFromLeaderThatDoesNotRelay() {
+    MemberSystem::OnReportResponse(m_tables, ReportResponse(), m_now);
+  }
+
   const ServerRow& GetServer() const { return *FindServer(m_tables, kServer); }
 
   FakeDirectoryDecoder m_decoder;
@@ -286,5 +290,31 @@
   EXPECT_FALSE(RelaySystem::IsProbeDue(tables, kServerRows, now));
 }
 
+// While the store failed, the leader answered that it did not relay, and all
+// members probed the servers at once and three times a second.
+TEST(RelayTest, MemberProbesTheServersOnlySomeTimeAfterTheLeaderStopsRelaying) {
+  Member member;
+  const auto advance = [&member](Duration time) {
+    member.m_now.m_steady += time;
+    member.m_now.m_boot += time;
+  };
+  const auto is_due = [&member] {
+    return RelaySystem::IsProbeDue(member.m_tables, kServerRows, member.m_now);
+  };
+  member.HearFromLeader(1);
+  advance(milliseconds(500));
+  member.HearFromLeaderThatDoesNotRelay();
+  EXPECT_TRUE(RelaySystem::MustWatch(member.m_tables, member.m_now));
+  EXPECT_FALSE(is_due());
+  // Further responses do not put the probe off.
+  const Duration age = member.m_tables.m_settings.m_member_refresh_age;
+  advance(age - milliseconds(100));
+  member.HearFromLeaderThatDoesNotRelay();
+  EXPECT_FALSE(is_due());
+  advance(milliseconds(200));
+  member.HearFromLeaderThatDoesNotRelay();
+  EXPECT_TRUE(is_due());
+}
+
 }  // namespace
 }  // namespace foxtail
