--- a/src/gateway/cluster_codec.cc
+++ b/src/gateway/cluster_codec.cc
@@ -118,8 +118,9 @@
 
 constexpr uint8_t kReportTag = 1;
 constexpr uint8_t kReportResponseTag = 2;
-// 3 was the tag of relayed rows without changes of owners records.
-constexpr uint8_t kRelayedRowsTag = 6;
+// 3 and 6 were the tags of relayed rows without changes of owners records, and
+// without the late grants of previous owners.
+constexpr uint8_t kRelayedRowsTag = 7;
 constexpr uint8_t kLeaderAnnouncementTag = 4;
 constexpr uint8_t kLeavingServersTag = 5;
 
--- a/src/gateway/cluster_records.h
+++ b/src/gateway/cluster_records.h
@@ -60,7 +60,8 @@
 struct PreviousOwner {
   std::string m_server;
 
-  /// A grant call to the server had no response and may still be executed.
+  /// A grant call to the server had no response and may still be executed; in
+  /// short, a late grant.
   bool m_has_late_grant = false;
 
   bool operator==(const PreviousOwner&) const = default;
--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -144,8 +144,8 @@
   /// `m_granted_until` without the grant call that is in flight.
   TimePoint m_prior_granted_until;
 
-  /// A grant call to the owner without a response may still be executed until
-  /// this time.
+  /// The owner may execute a late grant until this time. Goes into
+  /// `PreviousOwner::m_has_late_grant` when the range moves.
   TimePoint m_late_grant_until;
 
   /// Number of the owners record that must be stored before the move goes on.
--- a/src/gateway/range_grant_system.cc
+++ b/src/gateway/range_grant_system.cc
@@ -75,11 +75,10 @@
 
 void SkipRange(GatewayTables&, RangeId, RangeRow&, const Now&) {}
 
-// A grant call without a response may be executed after the release, and the
-// previous owner would own the range again. A server rejects the call once it
-// has seen a higher fencing token, so the range is granted once more with such
-// a token. The TTL of this grant is minimal because the new owner may already
-// own the range.
+// A late grant may be executed after the release, and the previous owner would
+// own the range again. A server rejects it once it has seen a higher fencing
+// token, so the range is granted once more with such a token. The TTL of this
+// grant is minimal because the server is about to release the range.
 void FencePreviousOwner(GatewayTables& tables,
                         RangeId id,
                         RangeRow& row,
@@ -90,8 +89,8 @@
       row.m_range, row.m_fence, tables.m_settings.m_fencing_grant_ttl, ""});
 }
 
-// A successor could not tell whether the late grant is one to a previous owner
-// or one to the owner, and must show its token to that server only.
+// The owner may have late grants from now on. A successor that still read of
+// the previous owner's would show its higher token to the wrong one of the two.
 void RecordReleasedRange(GatewayTables& tables, RangeRow& row) {
   ServiceRow& service = tables.m_services.Get(row.m_service);
   row.m_late_grant_recorded = false;
@@ -131,16 +130,16 @@
   const PreviousOwner& owner = NextToRelease(row);
   const ServerRow* previous = FindServer(tables, owner.m_server);
   const OwnershipSettings& settings = tables.m_settings;
-  // A call whose effect could last beyond the expiry would delay the move.
-  const Duration max_effect =
-      settings.m_server_call_timeout +
-      AddClockDrift(settings, settings.m_fencing_grant_ttl);
   // Once released, such a range has no owner until the store has answered.
   if (row.m_late_grant_recorded && tables.m_leader_lease.m_outage_ttl_active) {
     row.m_next_server_call_at =
         now.m_steady + settings.m_server_call_retry_delay;
     return;
   }
+  // A call whose effect could last beyond the expiry would delay the move.
+  const Duration max_effect =
+      settings.m_server_call_timeout +
+      AddClockDrift(settings, settings.m_fencing_grant_ttl);
   if (!previous || row.m_granted_until - now.m_steady < max_effect) {
     row.m_next_server_call_at = row.m_granted_until;
     return;
@@ -312,8 +311,10 @@
   const bool fenced = outcome == ServerCallOutcome::kDone;
   row.m_next_server_call_at =
       now.m_steady + (fenced ? Duration() : settings.m_server_call_retry_delay);
-  for (PreviousOwner& owner : row.m_previous_owners) {
-    owner.m_has_late_grant &= !fenced || owner.m_server != command.m_server;
+  for (PreviousOwner& previous : row.m_previous_owners) {
+    if (fenced && previous.m_server == command.m_server) {
+      previous.m_has_late_grant = false;
+    }
   }
 }
 
--- a/tests/gateway/fencing_test.cc
+++ b/tests/gateway/fencing_test.cc
@@ -60,8 +60,8 @@
   GatewayWorld world(3, 6);
   world.Run(seconds(3));
   const size_t leader = world.Leader();
-  world.m_hosts[leader].m_tables.m_leader_lease.m_last_fence +=
-      uint64_t{3} << (kFenceCounterBits - 2);
+  constexpr uint64_t kThreeQuarters = uint64_t{3} << (kFenceCounterBits - 2);
+  world.m_hosts[leader].m_tables.m_leader_lease.m_last_fence += kThreeQuarters;
   world.Run(seconds(6));
   EXPECT_NE(world.Leader(), leader);
   EXPECT_EQ(world.CountGrantedKeys(), kSampledKeys);
