A late grant counts when a range moves back to its server and on again

Cause, from the calls of that seed: server 9 has a late grant; the range is on the move to server 8 as the leader is lost. The next leader plans it back to server 9, which releases it without being fenced, since it would get a higher token next; then the range is planned to server 8 once more. Server 9 was not granted the range by this leader, so it did not count as a previous owner, and its late grant was executed 0.2 s after server 8 had been granted the range.

Change: a release by the server that is the owner again leaves its late grant in the row, so the next plan takes it along.

--- a/src/gateway/range_grant_system.cc
+++ b/src/gateway/range_grant_system.cc
@@ -299,6 +299,19 @@
   row.m_next_server_call_at = TimePoint();
 }
 
+// A range that moves back to a previous owner is released by it without fencing
+// it, so its late grant stays and counts if the range moves once more.
+void KeepLateGrantOfOwner(RangeRow& row) {
+  const bool has_late_grant = std::ranges::any_of(
+      row.m_previous_owners, [&row](const PreviousOwner& previous) {
+        return previous.m_server == row.m_owner && previous.m_has_late_grant;
+      });
+  if (has_late_grant) {
+    row.m_may_be_granted = true;
+    row.m_late_grant_until = row.m_granted_until;
+  }
+}
+
 void OnPreviousOwnerFenced(RangeRow& row,
                            const GrantCommand& command,
                            ServerCallOutcome outcome,
@@ -394,6 +407,9 @@
   if (outcome == ServerCallOutcome::kDone ||
       outcome == ServerCallOutcome::kReplaced) {
     row->m_handover = handover.empty() ? row->m_handover : handover;
+    if (command.m_server == row->m_owner) {
+      KeepLateGrantOfOwner(*row);
+    }
     RemovePreviousOwner(*row, command.m_server);
   }
 }
--- a/tests/gateway/fencing_test.cc
+++ b/tests/gateway/fencing_test.cc
@@ -221,6 +221,10 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, LateGrantTest, testing::Range(1U, 21U));
 
+// The range moved back to a server with a late grant, and on again before the
+// server was granted it. The late grant was forgotten with the release.
+INSTANTIATE_TEST_SUITE_P(Found, LateGrantTest, testing::Values(364U));
+
 /// Overlapping faults, many of them at calls that are executed late.
 class LateCallChaosTest : public testing::TestWithParam<uint32_t> {};
 
