--- a/src/gateway/front_end.h
+++ b/src/gateway/front_end.h
@@ -6,6 +6,7 @@
 #include "core/error.h"
 #include "core/time.h"
 #include "runtime/http_message.h"
+#include "scheduling/load_report.h"
 
 namespace foxtail {
 
@@ -30,17 +31,6 @@
   Duration m_time_left{};
 };
 
-/// The load that a backend server reports with a response, in requests.
-struct LoadReport {
-  uint32_t m_running = 0;
-  uint32_t m_waiting = 0;
-  uint32_t m_slots = 1;
-
-  /// Current processing time on the server's machine relative to the usual
-  /// time; absent if the server does not report it.
-  std::optional<double> m_slowdown;
-};
-
 /// Classification of a backend server's response.
 enum class ResponseKind {
   /// A complete response from the server, of any status.
