Encoding of permit messages; held permits name their server

A scheduler that has just started can only count the permits that a host already holds if it learns their servers, and a complete list must not end a ticket that was issued after it was sent, since datagrams may overtake one another. Requests name the data centre of their group.

--- a/src/scheduling/permit_messages.h
+++ b/src/scheduling/permit_messages.h
@@ -22,7 +22,9 @@
   /// group can.
   std::string m_server;
 
-  /// Number of the group of servers, for requests that name no server.
+  /// The group of servers, for requests that name no server: its data centre
+  /// and its number there.
+  std::string m_data_centre;
   uint32_t m_group = 0;
 
   /// 0 is the most urgent.
@@ -101,6 +103,13 @@
   bool m_leaving = false;
 };
 
+/// A ticket whose permit the host holds, with the permit's server, or that
+/// waits for one, without a server.
+struct HeldPermit {
+  PermitTicket m_ticket = 0;
+  std::string m_server;
+};
+
 /// Datagram from a host to a scheduler. A repeated message has no further
 /// effect.
 struct PermitRequests {
@@ -110,10 +119,11 @@
   std::vector<PermitRequest> m_requests;
   std::vector<PermitReturn> m_returns;
 
-  /// If set, `m_held` lists all permits that the host holds from this
-  /// scheduler or waits for; others have ended.
+  /// If set, `m_held` lists all permits up to `m_last_ticket` that the host
+  /// holds from this scheduler or waits for; others up to that one have ended.
   bool m_complete = false;
-  std::vector<PermitTicket> m_held;
+  PermitTicket m_last_ticket = 0;
+  std::vector<HeldPermit> m_held;
 };
 
 /// Datagram from a scheduler to a host.
