--- a/src/apps/foxtail_gateway.cc
+++ b/src/apps/foxtail_gateway.cc
@@ -19,6 +19,7 @@
 // detected only at the start, or not at all.
 int CheckSettings(const GatewaySettings& settings) {
   ParseProcessorShare(settings);
+  ParseSchedulingMode(settings);
   const std::vector<std::pair<std::string, std::string>> addresses = {
       {"listen", settings.m_listen},
       {"ready", settings.m_ready},
--- a/src/gateway/cluster_codec.cc
+++ b/src/gateway/cluster_codec.cc
@@ -24,7 +24,8 @@
 
 template <typename Archive>
 void serialize(Archive& archive, MemberRecord& m) {  // NOLINT
-  archive(m.m_address, m.m_incarnation, m.m_data_centre, m.m_processor_share);
+  archive(m.m_address, m.m_incarnation, m.m_data_centre, m.m_processor_share,
+          m.m_scheduling_address);
 }
 
 template <typename Archive>
--- a/src/gateway/cluster_records.h
+++ b/src/gateway/cluster_records.h
@@ -35,6 +35,9 @@
   /// Processor time that the host provides, in cores.
   double m_processor_share = 1;
 
+  /// IP:PORT that receives requests for permits.
+  std::string m_scheduling_address;
+
   bool operator==(const MemberRecord&) const = default;
 };
 
--- a/src/gateway/control_thread.cc
+++ b/src/gateway/control_thread.cc
@@ -69,7 +69,7 @@
       m_events(events) {
   m_tables.m_settings = settings.m_ownership;
   m_tables.m_self = {settings.m_internal, RandomToken(), settings.m_data_centre,
-                     ParseProcessorShare(settings)};
+                     ParseProcessorShare(settings), settings.m_permits};
   m_watched = {{kOperatorRows, decoder.OperatorTable(),
                 &DirectorySystem::ApplyOperatorRows},
                {kServerRows, decoder.ServerTable(),
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -13,7 +13,7 @@
 constexpr uint32_t kTextLimit = 4096;    // characters
 constexpr uint32_t kTimeLimit = 60'000;  // milliseconds
 
-constexpr std::array<SettingRow<S>, 13> kRows = {{
+constexpr std::array<SettingRow<S>, 15> kRows = {{
     {"listen", "FOXTAIL_GATEWAY_LISTEN", "text", 9, 64,
      "IP:PORT that clients connect to", &S::m_listen},
     {"ready", "FOXTAIL_GATEWAY_READY", "text", 9, 64,
@@ -24,6 +24,14 @@
      "IP:PORT that serves /metrics", &S::m_metrics},
     {"store", "FOXTAIL_GATEWAY_STORE", "text", 9, 64,
      "IP:PORT of the platform's table store", &S::m_store},
+    {"permits", "FOXTAIL_GATEWAY_PERMITS", "text", 0, 64,
+     "IP:PORT for datagrams about permits to send to backend servers; empty "
+     "means that no permits are used",
+     &S::m_permits},
+    {"scheduling", "FOXTAIL_GATEWAY_SCHEDULING", "text", 3, 6,
+     "own, shared or auto: whether requests need a permit of the host that "
+     "schedules their server; auto means if no workspace has a rate",
+     &S::m_scheduling},
     {"data-centre", "FOXTAIL_GATEWAY_DATA_CENTRE", "text", 1, 64,
      "data centre of this host", &S::m_data_centre},
     {"log-file", "FOXTAIL_GATEWAY_LOG_FILE", "text", 0, kTextLimit,
@@ -47,6 +55,17 @@
      "retries for each hundred first attempts", &S::m_retry_percent},
 }};
 
+struct SchedulingModeRow {
+  std::string_view m_name;
+  SchedulingMode m_mode;
+};
+
+constexpr std::array kSchedulingModes = {
+    SchedulingModeRow{"own", SchedulingMode::kOwn},
+    SchedulingModeRow{"shared", SchedulingMode::kShared},
+    SchedulingModeRow{"auto", SchedulingMode::kAuto},
+};
+
 }  // namespace
 
 double ParseProcessorShare(const GatewaySettings& settings) {
@@ -63,6 +82,17 @@
   return share;
 }
 
+SchedulingMode ParseSchedulingMode(const GatewaySettings& settings) {
+  for (const SchedulingModeRow& row : kSchedulingModes) {
+    if (row.m_name == settings.m_scheduling) {
+      return settings.m_permits.empty() ? SchedulingMode::kOwn : row.m_mode;
+    }
+  }
+  throw Error(ErrorCode::kSettingInvalid, "--scheduling = '" +
+                                              settings.m_scheduling +
+                                              "'; allowed: own, shared, auto");
+}
+
 std::span<const SettingRow<GatewaySettings>> GatewaySettingRows() {
   return kRows;
 }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -135,6 +135,17 @@
   Duration m_store_retry_delay = std::chrono::milliseconds(250);
 };
 
+/// How a host decides when it may send a request to a backend server.
+enum class SchedulingMode {
+  /// By what it has seen of the server itself.
+  kOwn,
+  /// By a permit of the host that schedules the server for all hosts.
+  kShared,
+  /// Shared in configurations in which no workspace has a rate, so that nothing
+  /// else bounds the load; own in others.
+  kAuto,
+};
+
 /// Limit on the workspaces that one summary in the log names.
 inline constexpr size_t kMaxLoggedWorkspaces = 20;
 
@@ -145,6 +156,10 @@
   std::string m_internal = "127.0.0.1:18302";
   std::string m_metrics = "127.0.0.1:18303";
   std::string m_store = "127.0.0.1:18304";
+
+  /// Empty: no permits are used.
+  std::string m_permits;
+  std::string m_scheduling = "auto";
   std::string m_data_centre = "local";
   std::string m_log_file = "-";
   std::string m_processor_share = "1";
@@ -174,6 +189,10 @@
 /// `Error(kSettingInvalid)`.
 double ParseProcessorShare(const GatewaySettings& settings);
 
+/// Parses how requests are scheduled; `kOwn` without an address for permits.
+/// Throws `Error(kSettingInvalid)`.
+SchedulingMode ParseSchedulingMode(const GatewaySettings& settings);
+
 /// Returns the descriptions of all settings.
 std::span<const SettingRow<GatewaySettings>> GatewaySettingRows();
 
--- a/src/gateway/gateway_traffic_thread.cc
+++ b/src/gateway/gateway_traffic_thread.cc
@@ -47,8 +47,13 @@
 
 void GatewayTrafficThread::Run() {
   InstallFiberScheduler();
+  m_scheduling = std::make_unique<SharedScheduling>(
+      m_settings, [this](const std::string& failure) {
+        m_events.Write(EventNumber::kInternalFailure, {{"error", failure}});
+      });
   m_handler = std::make_unique<RequestHandler>(m_settings, m_front_end, *this,
-                                               m_request_log, m_metrics);
+                                               *m_scheduling, m_request_log,
+                                               m_metrics);
   m_handler->GetRateLimiter().SetOnTokensNeeded([this] {
     m_report_schedule.OnTokensNeeded();
     m_report_due.Notify();
@@ -56,6 +61,9 @@
   m_handler->SetOnServerLeaving([this] {
     m_control->ReportLeavingServers(m_handler->TakeLeavingServers());
   });
+  if (ParseSchedulingMode(m_settings) != SchedulingMode::kOwn) {
+    StartFiber([this] { m_scheduling->Start(); });
+  }
   StartFiber([this] { OpenListeners(); });
   StartFiber([this] { ReportLoop(); });
   StartFiber([this] { SummaryLoop(); });
@@ -222,6 +230,7 @@
   if (!m_listening) {
     return true;  // no client was served
   }
+  m_scheduling->StopScheduling();
   m_client_server->StartDraining();
   boost::this_fiber::sleep_for(m_settings.m_stop_delay);
   const bool clean = m_client_server->Stop(deadline - Clock::now());
--- a/src/gateway/gateway_traffic_thread.h
+++ b/src/gateway/gateway_traffic_thread.h
@@ -55,6 +55,7 @@
   ControlThread* m_control = nullptr;
   Metrics m_metrics;
   RequestLog m_request_log;
+  std::unique_ptr<SharedScheduling> m_scheduling;
   std::unique_ptr<RequestHandler> m_handler;
   std::unique_ptr<HttpServer> m_client_server;
   std::unique_ptr<HttpServer> m_readiness_server;
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -58,6 +58,10 @@
 // Delay before a retry at the same server after a refusal.
 constexpr milliseconds kRefusalRetryDelay{40};
 
+// A request that was granted servers that it could not be sent to this many
+// times is refused: what this host and the schedulers know differs too much.
+constexpr uint32_t kMaxUnusedPermits = 4;
+
 struct RetryAfterRow {
   ErrorCode m_code;
   milliseconds m_delay;
@@ -103,6 +107,18 @@
   /// Number of cold servers whose rate did not admit the request.
   uint32_t m_cold_refusals = 0;
 
+  /// The client's first attempt was this long ago, and its target latency
+  /// ends then.
+  Duration m_first_attempt_ago{};
+  TimePoint m_target_at;
+
+  /// The permit that the request holds; 0 if it holds none.
+  PermitTicket m_permit = 0;
+  uint32_t m_unused_permits = 0;
+
+  /// Set if a scheduler has refused the request: when to come back.
+  std::optional<Duration> m_scheduler_retry_after;
+
   /// Backend server of the last attempt, for logs.
   std::string m_last_server;
 
@@ -141,9 +157,25 @@
   kOutcomeUnknown,
 };
 
+/// Returns the permit of an attempt that ended without a send.
+class RequestHandler::PermitScope {
+ public:
+  PermitScope(RequestHandler& handler, RequestContext& context)
+      : m_handler(handler), m_context(context) {}
+  ~PermitScope() { m_handler.ReturnPermit(m_context, {}); }
+
+  PermitScope(const PermitScope&) = delete;
+  PermitScope& operator=(const PermitScope&) = delete;
+
+ private:
+  RequestHandler& m_handler;
+  RequestContext& m_context;
+};
+
 RequestHandler::RequestHandler(const GatewaySettings& settings,
                                const FrontEnd& front_end,
                                const AccessFreshness& freshness,
+                               SharedScheduling& scheduling,
                                RequestLog& log,
                                Metrics& metrics)
     : m_settings(settings),
@@ -152,11 +184,13 @@
       m_request_log(log),
       m_metrics(metrics),
       m_client(kClientSettings),
+      m_scheduling(scheduling),
       m_rate_limiter(settings.m_ownership) {}
 
 void RequestHandler::OnSnapshot(
     std::shared_ptr<const RoutingSnapshot> snapshot) {
   m_snapshot = std::move(snapshot);
+  m_scheduling.OnSnapshot(m_snapshot);
   m_snapshot_changed.Notify();
   for (auto& [ticket, event] : m_queued_events) {
     event->Notify();
@@ -189,6 +223,7 @@
     // The retry delay is at most a third of the time that the client has left,
     // unless it is known that no server takes the request before.
     const TimePoint now = Clock::now();
+    retry_after = context.m_scheduler_retry_after.value_or(retry_after);
     retry_after = std::min(retry_after, (context.m_deadline - now) / 3);
     if (context.m_servers_paused_until && !context.m_maybe_ran) {
       retry_after =
@@ -268,6 +303,13 @@
   if (!context.m_route->m_unusable_reason.empty()) {
     throw Error(ErrorCode::kRouteUnusable, context.m_route->m_unusable_reason);
   }
+  if (context.m_request.m_deadline) {
+    context.m_first_attempt_ago = m_patience.OnRequest(
+        context.m_route->m_name, *context.m_request.m_deadline);
+  }
+  context.m_target_at = context.m_started_at +
+                        context.m_route->m_target_latency -
+                        context.m_first_attempt_ago;
   context.m_deadline = std::min(
       context.m_deadline, context.m_started_at + context.m_route->m_timeout);
   context.m_priority = context.m_route->m_priority;
@@ -311,9 +353,9 @@
                                              RequestContext& context) {
   while (true) {
     WaitForTarget(context);
-    const RoutedServer* server = FindTarget(context);
-    if (!server || !WaitForTurn(context, *server) ||
-        !AcquireColdStart(context, *server)) {
+    const PermitScope permit_scope(*this, context);
+    const RoutedServer* server = AcquireServer(context);
+    if (!server || !AcquireColdStart(context, *server)) {
       continue;  // the server has changed meanwhile, or takes nothing now
     }
     HttpResponse response;
@@ -406,6 +448,15 @@
   }
 }
 
+std::string RequestHandler::FindOwnerId(const RoutingSnapshot& snapshot,
+                                        const RequestContext& context) {
+  const ServiceEndpoints* endpoints = snapshot.FindEndpoints(context.m_service);
+  const RoutedRange* range =
+      endpoints ? endpoints->FindRange(*context.m_request.m_shard_key)
+                : nullptr;
+  return range ? range->m_server : "";
+}
+
 const RoutedServer* RequestHandler::FindOwner(RequestContext& context) {
   const ServiceEndpoints* endpoints =
       context.m_snapshot->FindEndpoints(context.m_service);
@@ -429,6 +480,111 @@
   return &server->second;
 }
 
+// Returns a server that the request may be sent to now, or null if the target
+// must be looked up again.
+const RoutedServer* RequestHandler::AcquireServer(RequestContext& context) {
+  return m_scheduling.IsOn() ? AcquirePermit(context)
+                             : AcquireOwnTurn(context);
+}
+
+const RoutedServer* RequestHandler::AcquireOwnTurn(RequestContext& context) {
+  const RoutedServer* server = FindTarget(context);
+  return server && WaitForTurn(context, *server) ? server : nullptr;
+}
+
+// Asks the server's scheduler. If none answers, the host decides by what it has
+// seen of the servers itself.
+const RoutedServer* RequestHandler::AcquirePermit(RequestContext& context) {
+  const auto asked_with = context.m_snapshot;
+  PermitQuery query;
+  query.m_service = context.m_service;
+  query.m_owner = context.m_sharded ? FindOwner(context) : nullptr;
+  if (context.m_sharded && !query.m_owner) {
+    return nullptr;
+  }
+  query.m_priority = context.m_priority;
+  query.m_deadline = context.m_deadline;
+  query.m_target_at = context.m_target_at;
+  query.m_returning = context.m_first_attempt_ago > Duration(0);
+  query.m_tried_servers = context.m_tried_servers;
+  query.m_cancellation = context.m_cancellation;
+  // A key that has moved needs a permit of its new owner. Other requests keep
+  // their place in the queue.
+  query.m_still_wanted = [&] {
+    return !context.m_sharded || m_snapshot == asked_with ||
+           FindOwnerId(*m_snapshot, context) == query.m_owner->m_id;
+  };
+  const PermitAnswer answer = m_scheduling.Acquire(query);
+  context.m_snapshot = m_snapshot;
+  if (answer.m_state == PermitState::kGranted) {
+    context.m_permit = answer.m_ticket;
+    PermitReturn unused;
+    const RoutedServer* server = FindGrantedServer(context, answer, unused);
+    if (!server) {
+      ReturnPermit(context, unused);
+    }
+    return server;
+  }
+  context.RequireClient();
+  if (answer.m_state == PermitState::kRefused) {
+    context.m_scheduler_retry_after = answer.m_retry_after;
+    ThrowFailure(context, ErrorCode::kServerSaturated,
+                 ErrorCode::kDeadlineExceeded);
+  }
+  if (answer.m_state == PermitState::kQueued) {
+    if (Clock::now() >= context.m_deadline) {
+      ThrowFailure(context, ErrorCode::kServerSaturated,
+                   ErrorCode::kDeadlineExceeded);
+    }
+    return nullptr;
+  }
+  return AcquireOwnTurn(context);
+}
+
+// Checks a granted server against what this host knows: a server that has told
+// this host that it is leaving or wants a pause gets nothing from it.
+const RoutedServer* RequestHandler::FindGrantedServer(
+    RequestContext& context,
+    const PermitAnswer& answer,
+    PermitReturn& unused) {
+  const TimePoint now = Clock::now();
+  const ServiceEndpoints* endpoints =
+      context.m_snapshot->FindEndpoints(context.m_service);
+  const RoutedServer* server = nullptr;
+  if (endpoints && context.m_sharded) {
+    server = FindOwner(context);
+  } else if (endpoints) {
+    const auto found = endpoints->m_servers.find(answer.m_server);
+    if (found != endpoints->m_servers.end() && found->second.m_eligible) {
+      server = &found->second;
+    }
+  }
+  if (server && server->m_id == answer.m_server) {
+    const SendServerId id = m_send_system.GetOrInsert(*server, now);
+    unused.m_leaving =
+        !context.m_sharded && m_send_system.LeavingSince(id, *server);
+    unused.m_pause = std::chrono::duration_cast<milliseconds>(
+        std::max(Duration(0), m_send_system.PauseEnd(id) - now));
+    if (!unused.m_leaving && unused.m_pause == milliseconds(0)) {
+      return server;
+    }
+  }
+  context.m_tried_servers.insert(answer.m_server);
+  if (++context.m_unused_permits > kMaxUnusedPermits) {
+    ReturnPermit(context, unused);
+    ThrowFailure(context, ErrorCode::kServerSaturated,
+                 ErrorCode::kDeadlineExceeded);
+  }
+  return nullptr;
+}
+
+void RequestHandler::ReturnPermit(RequestContext& context,
+                                  const PermitReturn& outcome) {
+  if (context.m_permit != 0) {
+    m_scheduling.Return(std::exchange(context.m_permit, 0), outcome);
+  }
+}
+
 // Queues the request for a server and waits until the request may be sent.
 // Returns false if the snapshot changed and the target must be looked up again.
 // A request that cannot be served in time is refused at once. A queued request
@@ -548,10 +704,43 @@
                         context.m_deadline + kResponseMargin, options);
   const AttemptOutcome outcome = ClassifyExchange(
       context, server, started_at, result, server_response, response);
+  ReturnPermit(context,
+               BuildPermitReturn(context, outcome, result, server_response,
+                                 Clock::now() - started_at));
   WakeQueueHead(id);
   return outcome;
 }
 
+// A client that has left ends the exchange, so its outcome says nothing about
+// the server.
+PermitReturn RequestHandler::BuildPermitReturn(
+    const RequestContext& context,
+    AttemptOutcome outcome,
+    const ExchangeResult& result,
+    const ServerResponse& server_response,
+    Duration latency) {
+  constexpr std::array kEnds = {
+      PermitEnd::kResponded,  PermitEnd::kServerError,
+      PermitEnd::kUnreachable, PermitEnd::kRefused,
+      PermitEnd::kMisdirected, PermitEnd::kUnanswered};
+  PermitReturn permit_return;
+  permit_return.m_end = kEnds.at(static_cast<size_t>(outcome));
+  if (result.m_closed_at_once) {
+    permit_return.m_end = PermitEnd::kRefused;
+  } else if (!result.m_ok && context.ClientDisconnected()) {
+    permit_return.m_end = PermitEnd::kNotUsed;
+  }
+  permit_return.m_latency =
+      std::chrono::duration_cast<std::chrono::microseconds>(latency);
+  if (result.m_ok) {
+    permit_return.m_load = server_response.m_load;
+    permit_return.m_pause =
+        std::chrono::duration_cast<milliseconds>(server_response.m_pause);
+    permit_return.m_leaving = server_response.m_leaving;
+  }
+  return permit_return;
+}
+
 RequestHandler::AttemptOutcome RequestHandler::ClassifyExchange(
     RequestContext& context,
     const RoutedServer& server,
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -10,11 +10,13 @@
 #include <vector>
 
 #include "core/metrics.h"
+#include "gateway/client_patience.h"
 #include "gateway/front_end.h"
 #include "gateway/rate_limiter.h"
 #include "gateway/request_log.h"
 #include "gateway/routing_snapshot.h"
 #include "gateway/send_system.h"
+#include "gateway/shared_scheduling.h"
 #include "gateway/traffic_splitter.h"
 #include "runtime/fiber_event.h"
 #include "runtime/http_client.h"
@@ -40,6 +42,7 @@
   RequestHandler(const GatewaySettings& settings,
                  const FrontEnd& front_end,
                  const AccessFreshness& freshness,
+                 SharedScheduling& scheduling,
                  RequestLog& log,
                  Metrics& metrics);
 
@@ -81,6 +84,7 @@
  private:
   struct RequestContext;
   enum class AttemptOutcome;
+  class PermitScope;
 
   HttpResponse Process(HttpRequest& request, RequestContext& context);
   void Resolve(RequestContext& context);
@@ -90,11 +94,20 @@
                                RequestContext& context);
   const RoutedServer* FindTarget(RequestContext& context);
   const RoutedServer* FindOwner(RequestContext& context);
+  static std::string FindOwnerId(const RoutingSnapshot& snapshot,
+                                 const RequestContext& context);
   std::optional<TimePoint> FindPauseEndOfTargets(const RequestContext& context);
   void RefuseDuringPause(RequestContext& context, TimePoint pause_end);
   void WaitForTarget(RequestContext& context);
   bool WaitForTurn(RequestContext& context, const RoutedServer& server);
   bool AcquireColdStart(RequestContext& context, const RoutedServer& server);
+  const RoutedServer* AcquireServer(RequestContext& context);
+  const RoutedServer* AcquireOwnTurn(RequestContext& context);
+  const RoutedServer* AcquirePermit(RequestContext& context);
+  const RoutedServer* FindGrantedServer(RequestContext& context,
+                                        const PermitAnswer& answer,
+                                        PermitReturn& unused);
+  void ReturnPermit(RequestContext& context, const PermitReturn& outcome);
   AttemptOutcome SendOnce(const HttpRequest& request,
                           RequestContext& context,
                           const RoutedServer& server,
@@ -105,6 +118,11 @@
                                   ExchangeResult& result,
                                   const ServerResponse& server_response,
                                   HttpResponse& response);
+  static PermitReturn BuildPermitReturn(const RequestContext& context,
+                                        AttemptOutcome outcome,
+                                        const ExchangeResult& result,
+                                        const ServerResponse& server_response,
+                                        Duration latency);
   bool CanRetry(RequestContext& context, AttemptOutcome outcome);
   void ThrowFailure(const RequestContext& context,
                     ErrorCode not_run,
@@ -124,6 +142,8 @@
   Metrics& m_metrics;
   HttpClient m_client;
   SendSystem m_send_system;
+  SharedScheduling& m_scheduling;
+  ClientPatience m_patience;
   RateLimiter m_rate_limiter;
   TrafficSplitter m_splitter;
   std::shared_ptr<const RoutingSnapshot> m_snapshot;
--- a/src/gateway/routing_snapshot.cc
+++ b/src/gateway/routing_snapshot.cc
@@ -16,6 +16,7 @@
   routed.m_cold_until = server.m_cold_until;
   routed.m_eligible = IsEligible(server);
   routed.m_send_until = TimePoint::max();
+  routed.m_ended = server.m_ended;
   if (server.m_ended) {
     routed.m_send_until = TimePoint::min();
   } else if (!server.m_registered) {
@@ -34,6 +35,40 @@
   return ranges;
 }
 
+std::vector<ServerGroup> BuildGroups(const ServiceEndpoints& endpoints) {
+  std::map<std::string, std::vector<const RoutedServer*>> by_data_centre;
+  for (const auto& [id, server] : endpoints.m_servers) {
+    if (!server.m_ended) {
+      by_data_centre[server.m_data_centre].push_back(&server);
+    }
+  }
+  std::vector<ServerGroup> groups;
+  for (const auto& [data_centre, servers] : by_data_centre) {
+    const uint32_t count = CountGroups(servers.size());
+    const size_t first = groups.size();
+    for (uint32_t number = 0; number < count; ++number) {
+      groups.push_back({data_centre, number, 0});
+    }
+    for (const RoutedServer* server : servers) {
+      groups[first + GroupOf(server->m_id, count)].m_slots +=
+          server->m_eligible ? server->m_slots : 0;
+    }
+  }
+  return groups;
+}
+
+SchedulerMap BuildSchedulerMap(const GatewayTables& tables) {
+  std::vector<SchedulingHost> hosts;
+  tables.m_members.ForEach([&hosts](MemberId, const MemberRow& member) {
+    const MemberRecord& record = member.m_record;
+    if (!record.m_scheduling_address.empty() && record.m_processor_share > 0) {
+      hosts.push_back({record.m_scheduling_address, record.m_data_centre,
+                       record.m_processor_share});
+    }
+  });
+  return SchedulerMap(std::move(hosts));
+}
+
 }  // namespace
 
 const RoutedRange* ServiceEndpoints::FindRange(uint32_t key) const {
@@ -80,6 +115,10 @@
   for (const auto& [service, record] : tables.m_owners) {
     snapshot->m_endpoints[service].m_ranges = BuildRanges(record);
   }
+  for (auto& [service, endpoints] : snapshot->m_endpoints) {
+    endpoints.m_groups = BuildGroups(endpoints);
+  }
+  snapshot->m_schedulers = BuildSchedulerMap(tables);
   snapshot->m_position = FindPosition(tables);
   snapshot->m_member_count = std::max<size_t>(1, tables.m_members.size());
   return snapshot;
--- a/src/gateway/routing_snapshot.h
+++ b/src/gateway/routing_snapshot.h
@@ -8,6 +8,8 @@
 #include "gateway/equal_share_limiter.h"
 #include "gateway/gateway_tables.h"
 #include "runtime/address.h"
+#include "scheduling/group_chooser.h"
+#include "scheduling/scheduler_map.h"
 
 namespace foxtail {
 
@@ -30,6 +32,9 @@
   /// keys move.
   bool m_eligible = true;
   TimePoint m_send_until;
+
+  /// Another server has the address.
+  bool m_ended = false;
 };
 
 /// The owner of a range of shard keys as the traffic threads see it.
@@ -46,6 +51,9 @@
   /// Ordered by key; empty for services without shard keys.
   std::vector<RoutedRange> m_ranges;
 
+  /// The servers by data centre, in groups that are scheduled together.
+  std::vector<ServerGroup> m_groups;
+
   /// Returns the range that contains a key, or null.
   const RoutedRange* FindRange(uint32_t key) const;
 };
@@ -60,6 +68,9 @@
   /// Number of registered gateways, at least 1.
   size_t m_member_count = 1;
 
+  /// The gateways that schedule the use of backend servers.
+  SchedulerMap m_schedulers;
+
   /// This gateway's place among them.
   MemberPosition m_position;
 
--- /dev/null
+++ b/src/gateway/shared_scheduling.cc
@@ -0,0 +1,161 @@
+#include "gateway/shared_scheduling.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/digest.h"
+
+namespace foxtail {
+namespace {
+
+// Schedulers to ask, the preferred one first, before the host decides by its
+// own knowledge.
+constexpr size_t kSchedulers = 2;
+
+// A server's scheduler answers the requests for one server, a group's those of
+// a whole data centre for a service. Most groups then belong to the strong
+// hosts, which have several times the processor time of the others.
+constexpr double kServerWeightExponent = 1;
+constexpr double kGroupWeightExponent = 3;
+
+// A refused request asks no more groups than this.
+constexpr size_t kMaxGroups = 3;
+
+// The load of a deployment whose workspaces have rates is bounded by these.
+bool HasRates(const RoutingConfig& config) {
+  return std::ranges::any_of(config.m_workspaces,
+                             [](const RoutedWorkspace& workspace) {
+                               return workspace.m_rate > 0;
+                             });
+}
+
+std::vector<SchedulableServer> ListServers(const ServiceEndpoints& endpoints) {
+  std::vector<SchedulableServer> servers;
+  for (const auto& [id, server] : endpoints.m_servers) {
+    if (!server.m_ended) {
+      servers.push_back({id, server.m_incarnation, server.m_data_centre,
+                         server.m_slots, server.m_cold_until,
+                         server.m_eligible});
+    }
+  }
+  return servers;
+}
+
+}  // namespace
+
+SharedScheduling::SharedScheduling(
+    const GatewaySettings& settings,
+    std::function<void(const std::string&)> on_failure)
+    : m_mode(ParseSchedulingMode(settings)),
+      m_link(settings.m_permits, std::move(on_failure)),
+      m_chooser({},
+                settings.m_data_centre,
+                static_cast<uint32_t>(FastHash(settings.m_permits))) {}
+
+void SharedScheduling::OnSnapshot(
+    const std::shared_ptr<const RoutingSnapshot>& snapshot) {
+  m_snapshot = snapshot;
+  m_on = snapshot->m_routes && !snapshot->m_schedulers.IsEmpty() &&
+         (m_mode == SchedulingMode::kShared ||
+          (m_mode == SchedulingMode::kAuto &&
+           !HasRates(snapshot->m_routes->GetConfig())));
+  if (m_on) {
+    for (const auto& [service, endpoints] : snapshot->m_endpoints) {
+      m_link.SetServers(service, ListServers(endpoints));
+    }
+  }
+  m_link.WakeAll();
+}
+
+PermitAnswer SharedScheduling::Ask(const PermitQuery& query,
+                                   const std::string& data_centre,
+                                   uint32_t group,
+                                   const std::string& key,
+                                   double weight_exponent,
+                                   Duration& expected_wait) {
+  PermitRequest request;
+  request.m_service = query.m_service;
+  request.m_server = query.m_owner ? query.m_owner->m_id : "";
+  request.m_data_centre = data_centre;
+  request.m_group = group;
+  request.m_priority = query.m_priority;
+  request.m_returning = query.m_returning;
+  if (!query.m_owner) {
+    request.m_excluded = {query.m_tried_servers.begin(),
+                          query.m_tried_servers.end()};
+  }
+  std::vector<std::string> schedulers;
+  for (const SchedulingHost* host : m_snapshot->m_schedulers.Rank(
+           key, data_centre, kSchedulers, weight_exponent)) {
+    schedulers.push_back(host->m_address);
+  }
+  PermitDecision decision;
+  PermitAnswer answer;
+  answer.m_ticket = m_link.Acquire(
+      std::move(request), query.m_deadline, query.m_target_at,
+      std::move(schedulers), query.m_cancellation, query.m_still_wanted,
+      decision);
+  answer.m_state = decision.m_state;
+  answer.m_server = decision.m_server;
+  answer.m_retry_after = decision.m_retry_after;
+  expected_wait = decision.m_expected_wait;
+  if (answer.m_state != PermitState::kGranted) {
+    m_link.End(answer.m_ticket, {});
+  }
+  return answer;
+}
+
+PermitAnswer SharedScheduling::AskOwner(const PermitQuery& query) {
+  Duration expected_wait{};
+  return Ask(query, query.m_owner->m_data_centre, 0,
+             ServerScheduleKey(query.m_service, query.m_owner->m_id),
+             kServerWeightExponent, expected_wait);
+}
+
+// A group that refuses has no room for the request before its deadline, but
+// another data centre may have. Refusals take no time, and reach no server.
+PermitAnswer SharedScheduling::AskGroups(const PermitQuery& query) {
+  PermitAnswer answer;
+  std::vector<std::pair<std::string, uint32_t>> refused;
+  while (refused.size() < kMaxGroups) {
+    const auto snapshot = m_snapshot;
+    const ServiceEndpoints* endpoints =
+        snapshot->FindEndpoints(query.m_service);
+    if (!endpoints) {
+      break;
+    }
+    std::vector<const ServerGroup*> excluded;
+    for (const ServerGroup& group : endpoints->m_groups) {
+      if (std::ranges::find(refused, std::pair(group.m_data_centre,
+                                               group.m_number)) !=
+          refused.end()) {
+        excluded.push_back(&group);
+      }
+    }
+    const ServerGroup* group = m_chooser.Choose(
+        query.m_service, endpoints->m_groups, excluded, Clock::now());
+    if (!group) {
+      break;
+    }
+    Duration expected_wait{};
+    answer = Ask(query, group->m_data_centre, group->m_number,
+                 GroupScheduleKey(query.m_service, group->m_data_centre,
+                                  group->m_number),
+                 kGroupWeightExponent, expected_wait);
+    if (answer.m_state == PermitState::kGranted ||
+        answer.m_state == PermitState::kRefused) {
+      m_chooser.OnWait(query.m_service, *group, expected_wait, Clock::now());
+    }
+    if (answer.m_state != PermitState::kRefused) {
+      break;
+    }
+    refused.emplace_back(group->m_data_centre, group->m_number);
+  }
+  return answer;
+}
+
+PermitAnswer SharedScheduling::Acquire(const PermitQuery& query) {
+  return query.m_owner ? AskOwner(query) : AskGroups(query);
+}
+
+}  // namespace foxtail
--- a/src/scheduling/scheduler_map.cc
+++ b/src/scheduling/scheduler_map.cc
@@ -12,14 +12,16 @@
 
 // Weighted rendezvous hashing: the score of a host is distributed so that the
 // host has the highest one with a probability proportional to its weight.
-double Score(const SchedulingHost& host, std::string_view key) {
+double Score(const SchedulingHost& host,
+             std::string_view key,
+             double weight_exponent) {
   std::string text(host.m_address);
   text += '|';
   text += key;
   constexpr double kRange = 18446744073709551616.0;  // 2^64
   const double uniform =
       (static_cast<double>(FastHash(text)) + 0.5) / kRange;
-  return -host.m_weight / std::log(std::min(uniform, 1 - 1e-12));
+  return -std::pow(host.m_weight, weight_exponent) / std::log(std::min(uniform, 1 - 1e-12));
 }
 
 }  // namespace
@@ -30,7 +32,8 @@
 std::vector<const SchedulingHost*> SchedulerMap::Rank(
     std::string_view key,
     std::string_view data_centre,
-    size_t count) const {
+    size_t count,
+    double weight_exponent) const {
   const bool has_local = std::ranges::any_of(
       m_hosts, [&](const auto& host) {
         return host.m_data_centre == data_centre;
@@ -39,7 +42,7 @@
   for (const SchedulingHost& host : m_hosts) {
     if (!has_local || host.m_data_centre == data_centre) {
       assert(host.m_weight > 0);
-      scored.emplace_back(Score(host, key), &host);
+      scored.emplace_back(Score(host, key, weight_exponent), &host);
     }
   }
   const size_t kept = std::min(count, scored.size());
--- a/src/scheduling/scheduler_map.h
+++ b/src/scheduling/scheduler_map.h
@@ -27,10 +27,12 @@
   explicit SchedulerMap(std::vector<SchedulingHost> hosts);
 
   /// Returns up to `count` hosts in order of preference: hosts in the data
-  /// centre of the server first, others only if that has none.
+  /// centre of the server, others only if that has none. The weights are raised
+  /// to `weight_exponent`.
   std::vector<const SchedulingHost*> Rank(std::string_view key,
                                           std::string_view data_centre,
-                                          size_t count) const;
+                                          size_t count,
+                                          double weight_exponent = 1) const;
 
   bool IsEmpty() const { return m_hosts.empty(); }
 
