Hosts retry the store together and ever more rarely while it fails

Ruled out: fewer watches, since the relayed rows need them after an outage of the leader. StoreRetry lets one table try for all of a host, with a delay that doubles up to 1.2 s and differs between hosts; a success wakes the others. Followers add their rank's delay to failed reads of the lease, so that the strongest hosts still notice first that the store is back.

--- a/src/gateway/control_thread.cc
+++ b/src/gateway/control_thread.cc
@@ -66,7 +66,8 @@
       m_directory(decoder),
       m_factories(std::move(factories)),
       m_listener(listener),
-      m_events(events) {
+      m_events(events),
+      m_store_retry({}, std::random_device{}()) {
   m_tables.m_settings = settings.m_ownership;
   m_tables.m_self = {settings.m_internal, RandomToken(), settings.m_data_centre,
                      ParseProcessorShare(settings)};
@@ -151,7 +152,9 @@
       // the store no longer matter.
       table.m_failing = false;
       m_watch_needed.WaitUntil(m_tables.m_relayed_until);
-    } else if (!ReadOrWatch(table)) {
+    } else if (!m_store_retry.TakeTry(Clock::now())) {
+      m_store_reachable.WaitUntil(m_store_retry.GetNextTry());
+    } else if (!ReadOrWatch(table) && !table.m_failing) {
       SleepBeforeRetry();
     }
   }
@@ -245,7 +248,8 @@
   while (!m_stopping) {
     for (WatchedTable& table : m_watched) {
       if (table.m_loaded &&
-          RelaySystem::IsProbeDue(m_tables, table.m_kind, ReadClocks())) {
+          RelaySystem::IsProbeDue(m_tables, table.m_kind, ReadClocks()) &&
+          m_store_retry.TakeTry(Clock::now())) {
         Probe(table);
       }
     }
@@ -289,6 +293,12 @@
                    {{"error", NameOf(outcome)}, {"table", table.m_name}});
   }
   table.m_failing = !succeeded;
+  if (!succeeded) {
+    m_store_retry.OnFailure(Clock::now());
+  } else if (m_store_retry.IsFailing()) {
+    m_store_retry.OnSuccess();
+    m_store_reachable.Notify();
+  }
 }
 
 void ControlThread::TickLoop() {
--- a/src/gateway/control_thread.h
+++ b/src/gateway/control_thread.h
@@ -11,6 +11,7 @@
 #include "gateway/gateway_tables.h"
 #include "gateway/routing_snapshot.h"
 #include "gateway/server_control.h"
+#include "gateway/store_retry.h"
 #include "runtime/fiber_event.h"
 #include "runtime/mailbox.h"
 #include "store/table_store.h"
@@ -135,6 +136,10 @@
   std::unique_ptr<boost::asio::ip::udp::socket> m_socket;
   Mailbox m_mailbox;
   FiberEvent m_wake;
+  StoreRetry m_store_retry;
+
+  /// Notified when reads of the store succeed again.
+  FiberEvent m_store_reachable;
 
   /// Notified when this process must watch the store itself.
   FiberEvent m_watch_needed;
--- a/src/gateway/leadership_system.cc
+++ b/src/gateway/leadership_system.cc
@@ -274,6 +274,10 @@
   lease.m_next_store_call_at =
       now.m_steady + tables.m_settings.m_leader_lease_read_period;
   if (result.m_outcome != StoreOutcome::kDone) {
+    // While the store fails, the strongest hosts are enough to notice when it
+    // is back.
+    lease.m_next_store_call_at +=
+        RankOfSelf(tables) * tables.m_settings.m_rank_delay;
     return;
   }
   LeaderLeaseRecord record;
