--- a/src/gateway/cluster_records.h
+++ b/src/gateway/cluster_records.h
@@ -36,7 +36,7 @@
   double m_processor_share = 1;
 
   /// IP:PORT that receives requests for permits.
-  std::string m_scheduling_address;
+  std::string m_scheduling_address = {};
 
   bool operator==(const MemberRecord&) const = default;
 };
--- a/tests/scheduling/scheduler_choice_test.cc
+++ b/tests/scheduling/scheduler_choice_test.cc
@@ -74,7 +74,7 @@
 
 TEST(SchedulerMapTest, OtherDataCentresServeOneWithoutHosts) {
   EXPECT_EQ(SchedulerMap(BuildHosts()).Rank("key", "tejo-3", 2).size(), 2);
-  EXPECT_TRUE(SchedulerMap({}).Rank("key", "tejo-3", 2).empty());
+  EXPECT_TRUE(SchedulerMap().Rank("key", "tejo-3", 2).empty());
 }
 
 class GroupChooserTest : public testing::Test {
