Decisions of the scheduler of permits

Servers refused a third of the requests that reached them, and the most urgent were served least, because each host decided alone and requests waited in servers' queues. PermitScheduler now decides for its servers without a network: windows, choice in a group, order of waiting requests, refusal and Retry-After, each in a file of its own over tables of servers, groups, queues, waiting requests, permits and hosts.

Nothing uses the new code yet.

--- a/src/scheduling/permit_scheduler.h
+++ b/src/scheduling/permit_scheduler.h
@@ -31,7 +31,8 @@
 /// Limits of a `PermitScheduler`.
 struct PermitSchedulerSettings {
   /// Permits of a server beyond its slots, so that the server does not idle
-  /// while a returned permit is on its way.
+  /// while a returned permit is on its way. Used only where this takes more
+  /// than a small part of a request's time.
   uint32_t m_reserve = 1;
 
   /// Fraction of the permits that go to the class of requests that has waited
--- a/src/scheduling/scheduler_map.cc
+++ b/src/scheduling/scheduler_map.cc
@@ -17,8 +17,7 @@
   text += '|';
   text += key;
   constexpr double kRange = 18446744073709551616.0;  // 2^64
-  const double uniform =
-      (static_cast<double>(FastHash(text)) + 0.5) / kRange;
+  const double uniform = (static_cast<double>(FastHash(text)) + 0.5) / kRange;
   return -host.m_weight / std::log(std::min(uniform, 1 - 1e-12));
 }
 
@@ -31,10 +30,9 @@
     std::string_view key,
     std::string_view data_centre,
     size_t count) const {
-  const bool has_local = std::ranges::any_of(
-      m_hosts, [&](const auto& host) {
-        return host.m_data_centre == data_centre;
-      });
+  const bool has_local = std::ranges::any_of(m_hosts, [&](const auto& host) {
+    return host.m_data_centre == data_centre;
+  });
   std::vector<std::pair<double, const SchedulingHost*>> scored;
   for (const SchedulingHost& host : m_hosts) {
     if (!has_local || host.m_data_centre == data_centre) {
--- /dev/null
+++ b/src/scheduling/server_window.cc
@@ -0,0 +1,109 @@
+#include "scheduling/server_window.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace foxtail {
+namespace {
+
+// One attempt without a response may be due to the network; several in a row
+// are due to the server.
+constexpr uint32_t kProbeAfterFailures = 2;
+
+// Above this slowdown, a request in the server's queue waits too long to be
+// worth keeping the slots busy.
+constexpr double kSlowFactor = 2;
+
+// The reserve is used if a slot would idle for more than this part of a
+// request's time between two requests. Below, it would only let one request
+// wait at the server, where it keeps its place from more urgent ones.
+constexpr double kMaxIdleFraction = 0.1;
+
+// Reports of other senders' requests are used for this long.
+constexpr std::chrono::seconds kReportAge{2};
+
+}  // namespace
+
+// The first rule that applies holds.
+const ServerWindow::Rule ServerWindow::kRules[] = {
+    {&ServerWindow::IsClosed, &ServerWindow::None},
+    {&ServerWindow::IsProbed, &ServerWindow::One},
+    {&ServerWindow::IsCold, &ServerWindow::HalfOfSlots},
+    {&ServerWindow::IsSlow, &ServerWindow::SlotsOnly},
+    {&ServerWindow::IsTransitLong, &ServerWindow::SlotsAndReserve},
+    {&ServerWindow::Always, &ServerWindow::SlotsOnly},
+};
+
+uint32_t ServerWindow::Size() const {
+  for (const Rule& rule : kRules) {
+    if ((this->*rule.m_applies)()) {
+      double size = (this->*rule.m_size)();
+      if (size < 1) {
+        return 0;
+      }
+      if (m_server.m_limit > 0) {
+        size = std::min(size, m_server.m_limit);
+      }
+      if (m_now - m_server.m_reported_at <= kReportAge) {
+        size -= std::round(m_server.m_other_requests);
+      }
+      return static_cast<uint32_t>(std::max(1.0, size));
+    }
+  }
+  return 0;
+}
+
+bool ServerWindow::HasRoom() const {
+  // Unanswered attempts fill the window of a server that does not respond. The
+  // pauses between probes bound the load instead.
+  const uint32_t in_use =
+      IsProbed() ? static_cast<uint32_t>(m_server.m_active.size()) : InUse();
+  return in_use < Size();
+}
+
+uint32_t ServerWindow::InUse() const {
+  return static_cast<uint32_t>(m_server.m_active.size() +
+                               m_server.m_unanswered.size());
+}
+
+uint32_t ServerWindow::FullSize(const PermitTables& tables,
+                                const ScheduledServerRow& server) {
+  return std::max(1U, server.m_entry.m_slots) + tables.m_settings.m_reserve;
+}
+
+bool ServerWindow::IsClosed() const {
+  return m_server.m_leaving || m_now < m_server.m_closed_until;
+}
+
+bool ServerWindow::IsProbed() const {
+  return m_server.m_failures >= kProbeAfterFailures;
+}
+
+bool ServerWindow::IsCold() const {
+  return m_now < m_server.m_entry.m_cold_until;
+}
+
+bool ServerWindow::IsSlow() const {
+  return m_server.m_speed.Slowdown(m_now) > kSlowFactor;
+}
+
+// Between two requests, a slot waits for the response and the returned permit,
+// then for the next permit and request: about twice the permit's transit.
+bool ServerWindow::IsTransitLong() const {
+  const double seconds = ExpectedSeconds(m_tables, m_server, m_now);
+  return 2 * m_server.m_transit_seconds > kMaxIdleFraction * seconds;
+}
+
+double ServerWindow::HalfOfSlots() const {
+  return std::max(1U, m_server.m_entry.m_slots / 2);
+}
+
+double ServerWindow::SlotsOnly() const {
+  return std::max(1U, m_server.m_entry.m_slots);
+}
+
+double ServerWindow::SlotsAndReserve() const {
+  return FullSize(m_tables, m_server);
+}
+
+}  // namespace foxtail
