--- a/src/scheduling/scheduler_map.cc
+++ b/src/scheduling/scheduler_map.cc
@@ -19,9 +19,9 @@
   text += '|';
   text += key;
   constexpr double kRange = 18446744073709551616.0;  // 2^64
-  const double uniform =
-      (static_cast<double>(FastHash(text)) + 0.5) / kRange;
-  return -std::pow(host.m_weight, weight_exponent) / std::log(std::min(uniform, 1 - 1e-12));
+  const double uniform = (static_cast<double>(FastHash(text)) + 0.5) / kRange;
+  return -std::pow(host.m_weight, weight_exponent) /
+         std::log(std::min(uniform, 1 - 1e-12));
 }
 
 }  // namespace
@@ -34,10 +34,9 @@
     std::string_view data_centre,
     size_t count,
     double weight_exponent) const {
-  const bool has_local = std::ranges::any_of(
-      m_hosts, [&](const auto& host) {
-        return host.m_data_centre == data_centre;
-      });
+  const bool has_local = std::ranges::any_of(m_hosts, [&](const auto& host) {
+    return host.m_data_centre == data_centre;
+  });
   std::vector<std::pair<double, const SchedulingHost*>> scored;
   for (const SchedulingHost& host : m_hosts) {
     if (!has_local || host.m_data_centre == data_centre) {
