Late registrations of a server's earlier life move no keys

Cause: the last row of a server's id was in force, whichever life of the server had written it. The row that an earlier life wrote while draining, and that reached the store after that of the next life under the same id, so moved the keys of a healthy server.

Ruled out: "an older incarnation never replaces a newer one". An incarnation is the time of the start by the server's clock, so a live server whose clock has stepped back between two starts would not be used, or be used while it drains. Also weighed: holding every other incarnation (each restart would wait 2.5 s), asking servers for their incarnation (their protocol has no such field), ending the hold at a failed call (one lost response would let a late row in).

Change: a registration is held if its incarnation was in force before, or is older than that of a registered server. It is dropped when the incarnation in force registers again. An unseen older one is used after 2.5 s; one that was replaced before only if it registers again 2.5 s or more after its first held row, which puts a wrong replacement right. When a held row expires, the server has 2.2 s to register again. The leader logs registration_held (316).

Left: a process that starts after the change of lives knows no earlier one, and an unseen late row is used if the server does not register again within 2.5 s.

--- a/src/core/event.cc
+++ b/src/core/event.cc
@@ -76,6 +76,10 @@
               "successor_incarnation",
               "A younger backend server, or a later start of this one, has "
               "registered."},
+    EventInfo{kRegistrationHeld, "registration_held",
+              "cell server incarnation current",
+              "A registration may be a late one of an earlier start of the "
+              "backend server and is not used yet."},
     EventInfo{kDispatcherAppointed, "dispatcher_appointed",
               "cell server dispatcher",
               "An entry received the dispatch lease of a backend server."},
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -43,6 +43,7 @@
   kServerUnlisted = 313,
   kServerDraining = 314,
   kServerReplaced = 315,
+  kRegistrationHeld = 316,
   kDispatcherAppointed = 320,
   kDispatcherLapsed = 321,
   kOrderFailed = 330,
--- a/src/gateway/directory_system.cc
+++ b/src/gateway/directory_system.cc
@@ -25,6 +25,14 @@
 // period of a draining server, and short against `kRemovalDelay`.
 constexpr std::chrono::milliseconds kMaxBackdating{1000};
 
+// How long a registration of an earlier incarnation is held: longer than a
+// server takes to register again once its registration is lost, and short
+// against the time for which servers run.
+constexpr std::chrono::milliseconds kHoldTime{2500};
+
+// Number of replaced incarnations that are remembered for a server.
+constexpr size_t kMaxReplacedIncarnations = 8;
+
 // Returns since when this process has known that the servers' rows being
 // applied had changed. It may have heard so before it could read them.
 TimePoint ServerChangeTime(const GatewayTables& tables, const Now& now) {
@@ -120,10 +128,17 @@
 void HandleMissingServer(GatewayTables& tables,
                          ServerRow& server,
                          const Now& now) {
+  // The row of a server that is there may have been overwritten by a late one,
+  // and have expired with it.
+  const bool was_overwritten = server.m_held.has_value();
+  server.m_held.reset();
   if (!server.m_registered || server.m_missing) {
     return;
   }
-  if (now.m_steady - tables.m_store_reachable_since < kOutageRecoveryPeriod) {
+  const bool may_register_again =
+      was_overwritten ||
+      now.m_steady - tables.m_store_reachable_since < kOutageRecoveryPeriod;
+  if (may_register_again) {
     server.m_missing = true;
     server.m_missing_until = now.m_steady + kReregistrationTimeout;
   } else {
@@ -131,6 +146,130 @@
   }
 }
 
+bool WasReplaced(const ServerRow& server, int64_t incarnation) {
+  return std::ranges::count(server.m_replaced_incarnations, incarnation) > 0;
+}
+
+// Returns whether a registration may be a late one of an incarnation that has
+// ended. The time of the start alone does not decide: the clock of a server may
+// have stepped back between two starts. A server that has ended or is not
+// registered loses nothing by a registration of another incarnation.
+bool IsDoubtful(const ServerRow& server, const BackendServerEntry& entry) {
+  if (entry.m_incarnation == server.m_entry.m_incarnation) {
+    return false;
+  }
+  return WasReplaced(server, entry.m_incarnation) ||
+         (entry.m_incarnation < server.m_entry.m_incarnation &&
+          server.m_registered && !server.m_ended);
+}
+
+// Holds a doubtful registration. Returns whether it is to be used, since it was
+// written again after the hold time: an incarnation that has ended writes no
+// more by then.
+bool HoldRegistration(GatewayTables& tables,
+                      ServerRow& server,
+                      const BackendServerEntry& entry,
+                      uint64_t row_version,
+                      const Now& now) {
+  std::optional<HeldRegistration>& held = server.m_held;
+  if (!held || held->m_entry.m_incarnation != entry.m_incarnation) {
+    held = {entry, row_version, now.m_steady};
+    if (tables.m_leader_lease.m_phase == LeaderLeasePhase::kLeader) {
+      tables.m_events.push_back({EventNumber::kRegistrationHeld,
+                                 {{"cell", entry.m_service},
+                                  {"server", entry.m_id},
+                                  {"incarnation", entry.m_incarnation},
+                                  {"current", server.m_entry.m_incarnation}}});
+    }
+  } else if (row_version != held->m_row_version) {
+    held->m_entry = entry;
+    held->m_row_version = row_version;
+    return now.m_steady - held->m_since >= kHoldTime;
+  }
+  return false;
+}
+
+// Returns whether a held registration is to be used without being written
+// again. One of an incarnation that was in force before is not: the later one
+// has been seen to follow it.
+bool IsHoldOver(const ServerRow& server, const Now& now) {
+  return server.m_held &&
+         !WasReplaced(server, server.m_held->m_entry.m_incarnation) &&
+         now.m_steady - server.m_held->m_since >= kHoldTime;
+}
+
+void RecordReplacedIncarnation(ServerRow& server) {
+  std::vector<int64_t>& replaced = server.m_replaced_incarnations;
+  std::erase(replaced, server.m_entry.m_incarnation);
+  replaced.push_back(server.m_entry.m_incarnation);
+  if (replaced.size() > kMaxReplacedIncarnations) {
+    replaced.erase(replaced.begin());
+  }
+}
+
+// Puts a registration in force. Returns whether it shows a server that was not
+// registered before or that has started again.
+bool PutInForce(GatewayTables& tables,
+                ServerRow& server,
+                BackendServerEntry entry,
+                uint64_t row_version,
+                const Now& now) {
+  const bool is_new = server.m_entry.m_id.empty();
+  const bool restarted = server.m_entry.m_incarnation != entry.m_incarnation;
+  server.m_held.reset();
+  if (server.m_ended && !restarted) {
+    return false;
+  }
+  if (!is_new && entry.m_incarnation > server.m_entry.m_incarnation) {
+    LogReplacedServer(tables, server.m_entry, entry);
+  }
+  if (!is_new && restarted) {
+    RecordReplacedIncarnation(server);
+    std::erase(server.m_replaced_incarnations, entry.m_incarnation);
+  }
+  const bool appeared = is_new || restarted || !server.m_registered;
+  if (appeared) {
+    server.m_consecutive_failures = 0;
+    server.m_ended = false;
+    server.m_replaced_by.clear();
+  }
+  server.m_leaving = server.m_leaving && !restarted;
+  if (entry.m_draining && !server.m_entry.m_draining) {
+    server.m_draining_since = ServerChangeTime(tables, now);
+    LogServerChange(tables, EventNumber::kServerDraining, entry);
+  }
+  server.m_cold_until = now.m_steady + entry.m_cold_left;
+  server.m_registered = true;
+  server.m_missing = false;
+  server.m_entry = std::move(entry);
+  server.m_row_version = row_version;
+  server.m_evacuated =
+      tables.m_evacuated.contains(server.m_entry.m_data_centre);
+  return appeared;
+}
+
+// Uses held registrations whose hold time has passed.
+void EndHolds(GatewayTables& tables, const Now& now) {
+  bool appeared = false;
+  tables.m_servers.ForEach([&](ServerId, ServerRow& server) {
+    if (!server.m_held) {
+      return;
+    }
+    if (IsHoldOver(server, now)) {
+      const HeldRegistration held = *server.m_held;
+      PutInForce(tables, server, held.m_entry, held.m_row_version, now);
+      server.m_cold_until = held.m_since + held.m_entry.m_cold_left;
+      appeared = true;
+    } else if (now.m_steady < server.m_held->m_since + kHoldTime) {
+      tables.WakeAt(server.m_held->m_since + kHoldTime);
+    }
+  });
+  if (appeared) {
+    EndReplacedServers(tables, now);
+    tables.m_snapshot_due = true;
+  }
+}
+
 // One line for all such routes: a configuration may have hundreds.
 void LogUnusableRoutes(GatewayTables& tables, const RoutingConfig& config) {
   const auto is_unusable = [](const RouteRow& route) {
@@ -320,39 +459,16 @@
     }
     return false;
   }
-  const bool is_new = !server;
-  if (is_new) {
+  if (!server) {
     const ServerId id = tables.m_servers.Insert({});
     tables.m_servers_by_id[row.m_key] = id;
     server = &tables.m_servers.Get(id);
     LogServerChange(tables, EventNumber::kServerUp, entry);
-  }
-  const bool restarted = server->m_entry.m_incarnation != entry.m_incarnation;
-  if (server->m_ended && !restarted) {
+  } else if (IsDoubtful(*server, entry) &&
+             !HoldRegistration(tables, *server, entry, row.m_version, now)) {
     return false;
   }
-  if (!is_new && entry.m_incarnation > server->m_entry.m_incarnation) {
-    LogReplacedServer(tables, server->m_entry, entry);
-  }
-  const bool appeared = is_new || restarted || !server->m_registered;
-  if (appeared) {
-    server->m_consecutive_failures = 0;
-    server->m_ended = false;
-    server->m_replaced_by.clear();
-  }
-  server->m_leaving = server->m_leaving && !restarted;
-  if (entry.m_draining && !server->m_entry.m_draining) {
-    server->m_draining_since = ServerChangeTime(tables, now);
-    LogServerChange(tables, EventNumber::kServerDraining, entry);
-  }
-  server->m_cold_until = now.m_steady + entry.m_cold_left;
-  server->m_registered = true;
-  server->m_missing = false;
-  server->m_entry = std::move(entry);
-  server->m_row_version = row.m_version;
-  server->m_evacuated =
-      tables.m_evacuated.contains(server->m_entry.m_data_centre);
-  return appeared;
+  return PutInForce(tables, *server, std::move(entry), row.m_version, now);
 }
 
 void DirectorySystem::ApplyServerRows(GatewayTables& tables,
@@ -401,6 +517,7 @@
 }
 
 void DirectorySystem::Run(GatewayTables& tables, const Now& now) {
+  EndHolds(tables, now);
   tables.m_servers.ForEach([&](ServerId id, ServerRow& server) {
     if (server.m_missing && now.m_steady < server.m_missing_until) {
       tables.WakeAt(server.m_missing_until);
--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -52,11 +52,26 @@
   TimePoint m_deregister_at;
 };
 
+/// A registration that may have been written late by an earlier incarnation of
+/// its server.
+struct HeldRegistration {
+  BackendServerEntry m_entry;
+  uint64_t m_row_version = 0;
+
+  /// When the incarnation's first such registration was read.
+  TimePoint m_since;
+};
+
 /// A backend server and its registration.
 struct ServerRow {
   BackendServerEntry m_entry;
   uint64_t m_row_version = 0;
 
+  /// A registration that is not used yet, and the incarnations, the newest
+  /// last, that have been replaced by another one of this server.
+  std::optional<HeldRegistration> m_held;
+  std::vector<int64_t> m_replaced_incarnations;
+
   /// False once the registration has been removed. The row stays until no range
   /// refers to the server.
   bool m_registered = true;
--- a/tests/gateway/directory_system_test.cc
+++ b/tests/gateway/directory_system_test.cc
@@ -13,6 +13,7 @@
 namespace foxtail {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 constexpr const char* kOld = "server-old";
@@ -197,6 +198,73 @@
   EXPECT_EQ(std::get<int64_t>(field->m_value), 5);
 }
 
+/// A host that reads registrations of several starts of one server. The
+/// incarnation is the time of the start by the server's clock.
+class HeldRegistrationTest : public ReplacedServerTest {
+ protected:
+  void Apply(int64_t incarnation, uint64_t version, bool draining = false) {
+    const std::string value = "10.1.0.2:80 dc-1 " + std::to_string(draining) +
+                              " " + std::to_string(incarnation);
+    ApplyRows({{kOld, value, version, false}}, false);
+  }
+
+  void RunFor(milliseconds time) {
+    m_now.m_steady += time;
+    DirectorySystem::Run(m_tables, m_now);
+  }
+
+  int64_t Incarnation() {
+    return FindServer(m_tables, kOld)->m_entry.m_incarnation;
+  }
+};
+
+// A server whose clock had stepped back would not have been used at all.
+TEST_F(HeldRegistrationTest, OlderStartIsUsedAfterTheHoldTime) {
+  Apply(5, 1);
+  Apply(3, 2);
+  RunFor(milliseconds(2400));
+  EXPECT_EQ(Incarnation(), 5);
+  RunFor(milliseconds(200));
+  EXPECT_EQ(Incarnation(), 3);
+}
+
+// The late registration of a start that this process had not seen moved the
+// keys of the server that was there.
+TEST_F(HeldRegistrationTest, ServerThatRegistersAgainEndsTheHold) {
+  Apply(5, 1);
+  Apply(3, 2, true);
+  Apply(5, 3);
+  RunFor(seconds(5));
+  EXPECT_EQ(Incarnation(), 5);
+}
+
+// A start that was replaced by mistake has to come back, and rows that arrive
+// late do so together.
+TEST_F(HeldRegistrationTest, ReplacedStartIsUsedIfItWritesAfterTheHoldTime) {
+  Apply(3, 1);
+  Apply(5, 2);
+  Apply(3, 3);
+  Apply(3, 4, true);
+  RunFor(seconds(5));
+  EXPECT_EQ(Incarnation(), 5);
+  Apply(3, 4, true);  // the same row, read once more
+  EXPECT_EQ(Incarnation(), 5);
+  Apply(3, 5);
+  EXPECT_EQ(Incarnation(), 3);
+}
+
+// The later start lost its keys as the late row in place of its own expired.
+TEST_F(HeldRegistrationTest, ExpiryOfALateRowLeavesTimeToRegisterAgain) {
+  Apply(3, 1);
+  Apply(5, 2);
+  Apply(3, 3);
+  ApplyRows({{kOld, "", 4, true}}, false);
+  RunFor(milliseconds(2100));
+  EXPECT_TRUE(FindServer(m_tables, kOld)->m_registered);
+  RunFor(milliseconds(200));
+  EXPECT_FALSE(FindServer(m_tables, kOld)->m_registered);
+}
+
 // A datagram to such an address cannot be sent: the message did not reach the
 // members after it in the list, and a relay stopped receiving.
 TEST(DirectorySystemTest, MemberWithAnUnusableAddressIsIgnored) {
--- a/tests/gateway/fencing_test.cc
+++ b/tests/gateway/fencing_test.cc
@@ -88,6 +88,41 @@
   EXPECT_GT(world.CountGrantedKeysOf(0), 0U);
 }
 
+// A late registration that nothing replaced was used after some time.
+TEST(FencingTest, LateRegistrationIsNotUsedLaterEither) {
+  GatewayWorld world(3, 6);
+  world.Run(seconds(3));
+  FakeServer& server = world.m_servers[0];
+  world.RestartServer(0, server.m_id);
+  world.RegisterServer(0);
+  world.Run(seconds(1));
+  --server.m_incarnation;
+  server.m_draining = true;
+  world.RegisterServer(0);
+  ++server.m_incarnation;
+  world.Run(seconds(20));
+  EXPECT_GT(world.CountGrantedKeysOf(0), 0U);
+}
+
+// A server whose clock has stepped back between two starts is no late
+// registration: ignored, it would be used while it drains and stops.
+TEST(FencingTest, ServerWhoseClockHasSteppedBackDrains) {
+  GatewayWorld world(3, 6);
+  world.Run(seconds(3));
+  FakeServer& server = world.m_servers[0];
+  server.m_grants = {};
+  server.m_incarnation -= 100;
+  world.RegisterServer(0);
+  world.Run(seconds(4));
+  ASSERT_GT(world.CountGrantedKeysOf(0), 0U);
+  server.m_draining = true;
+  world.RegisterServer(0);
+  world.Run(seconds(2));
+  EXPECT_EQ(world.CountGrantedKeysOf(0), 0U);
+  EXPECT_EQ(world.CountGrantedKeys(), kSampledKeys);
+  EXPECT_EQ(world.m_low_fences, 0U);
+}
+
 bool IsReleasing(const RangeRow& row) {
   return row.m_phase == RangePhase::kReleasing;
 }
