foxtailctl config check: a configuration is checked before it is sent

Cause: a fault in the platform's configuration showed only after it was written. The daemons told the first error, without a line, in row_unreadable; entries that never match and limits that contradict each other were not told at all.

Exit codes: 0 nothing found, 1 findings, 2 a file cannot be read or parsed. DirectorySystem takes its rules for unusable routes and for newer versions from there. docs/CONFIG-CHECK.md has an example of each finding.

Decided: differences do not change the exit code, as each new version has some; a version that is not above the one in force is an error; a document that is no JSON ends with 2, with its line; keys are counted and not shown. Weights below 1 are kept apart in RouteRow::m_idle_services, so that a rule can see them.

Ruled out: warning of every member that is not read. Operators write members for other readers (protocol, tls, health_path), so only likely misspellings are told.

--- a/src/apps/foxtailctl.cc
+++ b/src/apps/foxtailctl.cc
@@ -3,6 +3,7 @@
 #include "apps/program.h"
 #include "ctl/ctl_commands.h"
 #include "ctl/ctl_settings.h"
+#include "platform/operator_config_reader.h"
 
 namespace foxtail {
 namespace {
@@ -36,7 +37,8 @@
       return kExitDone;
     }
     InstallFiberScheduler();
-    CtlCommands commands(settings, std::cout);
+    const OperatorConfigReader reader;
+    CtlCommands commands(settings, reader, std::cout);
     return commands.Run();
   } catch (const Error& error) {
     std::cerr << "foxtailctl: " << InfoOf(error.GetCode()).m_name << ": "
--- a/src/ctl/ctl_commands.cc
+++ b/src/ctl/ctl_commands.cc
@@ -12,6 +12,7 @@
 #include "core/digest.h"
 #include "core/error.h"
 #include "core/json.h"
+#include "ctl/config_check.h"
 
 namespace foxtail {
 namespace {
@@ -49,13 +50,16 @@
   }
 };
 
-CtlCommands::CtlCommands(const CtlSettings& settings, std::ostream& out)
+CtlCommands::CtlCommands(const CtlSettings& settings,
+                         const ConfigReader& reader,
+                         std::ostream& out)
     : m_settings(settings),
+      m_reader(reader),
       m_out(out),
       m_rpc(m_client, settings.m_cluster_secret, settings.m_timeout) {}
 
 int CtlCommands::Run() {
-  static constexpr std::array<Command, 14> kCommands = {{
+  static constexpr std::array<Command, 15> kCommands = {{
       {"apply", nullptr, 1, &CtlCommands::Apply},
       {"plan", "show", 1, &CtlCommands::PlanShow},
       {"confirm", nullptr, 1, &CtlCommands::Confirm},
@@ -70,6 +74,7 @@
       {"server", "return", 2, &CtlCommands::ServerReturn},
       {"cell", "release", 1, &CtlCommands::CellRelease},
       {"history", nullptr, 0, &CtlCommands::History},
+      {"config", "check", 1, &CtlCommands::CheckConfig},
   }};
   for (const Command& command : kCommands) {
     if (command.Matches(m_settings.m_arguments)) {
@@ -397,6 +402,11 @@
   return kExitDone;
 }
 
+int CtlCommands::CheckConfig() {
+  return ConfigCheck(m_reader, m_out)
+      .Run({Argument(2), m_settings.m_against, m_settings.m_json});
+}
+
 void CtlCommands::PrintPlan(const Json::Value& plan) {
   if (m_settings.m_json) {
     m_out << JsonPretty(plan) << "\n";
--- a/src/ctl/ctl_commands.h
+++ b/src/ctl/ctl_commands.h
@@ -8,6 +8,7 @@
 
 #include "ctl/ctl_settings.h"
 #include "daemon/control_rpc_client.h"
+#include "routing/config_reader.h"
 #include "runtime/http_client.h"
 
 namespace foxtail {
@@ -15,8 +16,10 @@
 /// The commands of `foxtailctl`.
 class CtlCommands {
  public:
-  /// Prints to `out`.
-  CtlCommands(const CtlSettings& settings, std::ostream& out);
+  /// Prints to `out`. `reader` reads the files that `config check` is given.
+  CtlCommands(const CtlSettings& settings,
+              const ConfigReader& reader,
+              std::ostream& out);
 
   /// Executes the command given in the settings; returns the exit code. Throws
   /// `Error`.
@@ -40,6 +43,7 @@
   int ServerReturn();
   int CellRelease();
   int History();
+  int CheckConfig();
 
   /// Calls a method on the first control process that can handle it. Throws the
   /// error of the last process that was called.
@@ -56,6 +60,7 @@
   const std::string& Argument(size_t index) const;
 
   const CtlSettings& m_settings;
+  const ConfigReader& m_reader;
   std::ostream& m_out;
   HttpClient m_client;
   ControlRpcClient m_rpc;
--- a/src/ctl/ctl_settings.cc
+++ b/src/ctl/ctl_settings.cc
@@ -31,6 +31,9 @@
   cell release CELL                  release a cell's control lease; only if its
                                      holder and standbys are gone for good
   history                            the newest plans
+  config check FILE                  check a configuration for the platform's
+                                     table before it is written, without a
+                                     network (docs/CONFIG-CHECK.md)
 
 flags
   --control IP:PORT,...  control processes  (variable FOXTAILCTL_CONTROL;
@@ -40,6 +43,9 @@
   --timeout MS           timeout of a call and of --wait, 1 to 600000 ms
                          (variable FOXTAILCTL_TIMEOUT; default 10000)
   --json                 print JSON
+  --format text|json     the same choice by name
+  --against FILE         also show how the configuration differs from the one in
+                         this file, the version in force (config check)
   --yes                  confirm the new plan at once
   --wait                 wait until the confirmed version is in force everywhere
 
@@ -48,10 +54,12 @@
   foxtailctl confirm p1764842400000-1a2b3c --wait
   foxtailctl --yes --wait datacentre leave tejo-2
   foxtailctl explain catalogue club-7
+  foxtailctl config check next.json --against now.json
 
 exit codes: 0 done, 1 failed, 2 wrong command line or setting, 3 plan stale,
 4 not in force everywhere within the timeout, 5 control processes or platform
-unavailable
+unavailable; of config check: 0 nothing found, 1 findings, 2 a file cannot be
+read or checked
 )";
 
 std::string VariableOr(const char* name, const char* fallback) {
@@ -73,10 +81,16 @@
 }  // namespace
 
 bool ReadCtlSettings(int argc, const char* const* argv, CtlSettings& settings) {
+  std::vector<std::string> format_names{"text", "json"};
   TCLAP::CmdLine line("", ' ', "", false);
   line.setExceptionHandling(false);
   TCLAP::SwitchArg help("h", "help", "help", line);
   TCLAP::SwitchArg json("", "json", "JSON", line);
+  TCLAP::ValuesConstraint<std::string> formats(format_names);
+  TCLAP::ValueArg<std::string> format("", "format", "format", false, "text",
+                                      &formats, line);
+  TCLAP::ValueArg<std::string> against("", "against", "version in force", false,
+                                       "", "file", line);
   TCLAP::SwitchArg yes("", "yes", "confirm", line);
   TCLAP::SwitchArg wait("", "wait", "wait", line);
   TCLAP::ValueArg<std::string> control(
@@ -103,7 +117,8 @@
   }
   settings.m_controls = ParseAddressList(control.getValue());
   settings.m_cluster_secret = secret.getValue();
-  settings.m_json = json.getValue();
+  settings.m_json = json.getValue() || format.getValue() == "json";
+  settings.m_against = against.getValue();
   settings.m_yes = yes.getValue();
   settings.m_wait = wait.getValue();
   settings.m_timeout = ParseTimeout(timeout.getValue());
--- a/src/ctl/ctl_settings.h
+++ b/src/ctl/ctl_settings.h
@@ -15,6 +15,9 @@
   /// Print JSON instead of tables.
   bool m_json = false;
 
+  /// File with the configuration in force, for `config check`.
+  std::string m_against;
+
   /// Wait until a confirmed configuration is in force everywhere.
   bool m_wait = false;
 
--- a/src/gateway/directory_system.cc
+++ b/src/gateway/directory_system.cc
@@ -7,6 +7,7 @@
 
 #include "core/error.h"
 #include "gateway/cold_start_limit.h"
+#include "routing/routing_rules.h"
 #include "runtime/address.h"
 
 namespace foxtail {
@@ -272,19 +273,17 @@
 
 // One line for all such routes: a configuration may have hundreds.
 void LogUnusableRoutes(GatewayTables& tables, const RoutingConfig& config) {
-  const auto is_unusable = [](const RouteRow& route) {
-    return !route.m_unusable_reason.empty();
-  };
-  const auto first = std::ranges::find_if(config.m_routes, is_unusable);
-  if (first == config.m_routes.end()) {
+  const std::vector<RuleFinding> findings =
+      CheckRule(config, kUnusableRouteRule);
+  if (findings.empty()) {
     return;
   }
-  tables.m_events.push_back(
-      {EventNumber::kRoutesUnusable,
-       {{"version", config.m_version},
-        {"routes", std::ranges::count_if(config.m_routes, is_unusable)},
-        {"first", first->m_name},
-        {"reason", first->m_unusable_reason}}});
+  const RouteRow& first = config.m_routes.at(findings[0].m_location.m_index);
+  tables.m_events.push_back({EventNumber::kRoutesUnusable,
+                             {{"version", config.m_version},
+                              {"routes", findings.size()},
+                              {"first", first.m_name},
+                              {"reason", first.m_unusable_reason}}});
 }
 
 void UpdateEvacuations(GatewayTables& tables, const Now& now) {
@@ -380,8 +379,7 @@
   }
   try {
     RoutingConfig config = m_decoder.DecodeConfiguration(row.m_value);
-    if (tables.m_routes &&
-        config.m_version <= tables.m_routes->GetConfig().m_version) {
+    if (tables.m_routes && !IsNewer(config, tables.m_routes->GetConfig())) {
       return;
     }
     const uint64_t version = config.m_version;
--- a/src/routing/routing_config.h
+++ b/src/routing/routing_config.h
@@ -46,6 +46,10 @@
   /// Maximum number of servers that one request may be sent to.
   uint32_t m_max_attempts = 1;
   std::vector<WeightedService> m_services;
+
+  /// Services of the route with a weight below 1, which get none of its
+  /// requests.
+  std::vector<std::string> m_idle_services;
 };
 
 /// A service as configured by the operators.
