--- a/src/gateway/gateway_traffic_thread.cc
+++ b/src/gateway/gateway_traffic_thread.cc
@@ -51,9 +51,8 @@
       m_settings, [this](const std::string& failure) {
         m_events.Write(EventNumber::kInternalFailure, {{"error", failure}});
       });
-  m_handler = std::make_unique<RequestHandler>(m_settings, m_front_end, *this,
-                                               *m_scheduling, m_request_log,
-                                               m_metrics);
+  m_handler = std::make_unique<RequestHandler>(
+      m_settings, m_front_end, *this, *m_scheduling, m_request_log, m_metrics);
   m_handler->GetRateLimiter().SetOnTokensNeeded([this] {
     m_report_schedule.OnTokensNeeded();
     m_report_due.Notify();
@@ -199,6 +198,9 @@
     }
     m_report_schedule.OnReport(now);
     m_control->Report(m_handler->CollectReport(now, with_loads));
+    if (with_loads) {
+      m_control->ReportRollouts(m_handler->CollectRolloutCounts());
+    }
   }
 }
 
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -119,6 +119,14 @@
   /// Set if a scheduler has refused the request: when to come back.
   std::optional<Duration> m_scheduler_retry_after;
 
+  /// Order of a rollout by which the request was assigned to a group of
+  /// servers, and the group.
+  uint64_t m_rollout_order = 0;
+  std::optional<VersionGroup> m_version_group;
+
+  /// Counts the last attempt as on its way until the response is complete.
+  std::shared_ptr<void> m_in_flight;
+
   /// Backend server of the last attempt, for logs.
   std::string m_last_server;
 
@@ -172,6 +180,19 @@
   RequestContext& m_context;
 };
 
+// What an attempt tells of the version of the server.
+AttemptResult RequestHandler::ResultOf(AttemptOutcome outcome) {
+  switch (outcome) {
+    case AttemptOutcome::kResponded:
+      return AttemptResult::kGood;
+    case AttemptOutcome::kServerError:
+    case AttemptOutcome::kOutcomeUnknown:
+      return AttemptResult::kFailed;
+    default:
+      return AttemptResult::kNoEvidence;
+  }
+}
+
 RequestHandler::RequestHandler(const GatewaySettings& settings,
                                const FrontEnd& front_end,
                                const AccessFreshness& freshness,
@@ -191,6 +212,8 @@
     std::shared_ptr<const RoutingSnapshot> snapshot) {
   m_snapshot = std::move(snapshot);
   m_scheduling.OnSnapshot(m_snapshot);
+  m_rollout_splitter.Expire(*m_snapshot);
+  m_rollout_meter.OnSnapshot(*m_snapshot);
   m_snapshot_changed.Notify();
   for (auto& [ticket, event] : m_queued_events) {
     event->Notify();
@@ -263,7 +286,8 @@
   if (response.m_body_stream) {
     response.m_body_stream = std::make_shared<TrackedBodyStream>(
         std::move(response.m_body_stream),
-        [this, entry = BuildLogEntry(context)](const Error& failure) {
+        [this, entry = BuildLogEntry(context),
+         in_flight = context.m_in_flight](const Error& failure) {
           LogFailure(entry, Error(ErrorCode::kServerLost, Execution::kUnknown,
                                   failure.GetDetail()));
         });
@@ -389,7 +413,7 @@
   while (true) {
     context.RequireClient();
     context.m_snapshot = m_snapshot;
-    if (FindTarget(context)) {
+    if (HasTarget(context)) {
       return;
     }
     const auto pause_end = FindPauseEndOfTargets(context);
@@ -405,6 +429,18 @@
   }
 }
 
+bool RequestHandler::HasTarget(RequestContext& context) {
+  if (context.m_sharded || !UsesPermits(context)) {
+    return FindTarget(context) != nullptr;
+  }
+  const ServiceEndpoints* endpoints =
+      context.m_snapshot->FindEndpoints(context.m_service);
+  return endpoints && std::ranges::any_of(endpoints->m_groups,
+                                          [](const ServerGroup& group) {
+                                            return group.m_slots > 0;
+                                          });
+}
+
 const RoutedServer* RequestHandler::FindTarget(RequestContext& context) {
   const ServiceEndpoints* endpoints =
       context.m_snapshot->FindEndpoints(context.m_service);
@@ -415,17 +451,43 @@
     return FindOwner(context);
   }
   const TimePoint now = Clock::now();
+  const VersionChoice versions = ChooseVersion(context, *endpoints);
   const RoutedServer* server =
       ChooseServer(*endpoints, m_settings.m_data_centre,
-                   context.m_tried_servers, m_send_system, now);
+                   context.m_tried_servers, m_send_system, now, versions);
   if (!server && !context.m_tried_servers.empty()) {
     context.m_tried_servers.clear();
-    server = ChooseServer(*endpoints, m_settings.m_data_centre,
-                          context.m_tried_servers, m_send_system, now);
+    server =
+        ChooseServer(*endpoints, m_settings.m_data_centre,
+                     context.m_tried_servers, m_send_system, now, versions);
   }
   return server;
 }
 
+// While a rollout is in force, each request is assigned to one group of
+// servers. A retry goes to the others for as long as they may be used: what
+// failed at the new version may succeed there, and retries don't add to its
+// share.
+VersionChoice RequestHandler::ChooseVersion(RequestContext& context,
+                                            const ServiceEndpoints& endpoints) {
+  if (!endpoints.m_rollout) {
+    return {};
+  }
+  const RoutedRollout& rollout = *endpoints.m_rollout;
+  const bool is_assigned =
+      context.m_version_group && context.m_rollout_order == rollout.m_order;
+  const bool is_split =
+      rollout.m_share > 0 && rollout.m_share < 1 && !rollout.m_paused;
+  if (is_split && context.m_attempts > 0) {
+    context.m_version_group = VersionGroup::kOthers;
+  } else if (!is_split || !is_assigned) {
+    context.m_version_group = m_rollout_splitter.Choose(
+        context.m_service, rollout, context.m_snapshot->m_position);
+  }
+  context.m_rollout_order = rollout.m_order;
+  return {endpoints, context.m_version_group};
+}
+
 // Returns when the first of the servers that are asking for a pause takes the
 // request, or nothing if none is.
 std::optional<TimePoint> RequestHandler::FindPauseEndOfTargets(
@@ -435,7 +497,8 @@
   if (!endpoints || context.m_sharded) {
     return std::nullopt;
   }
-  return FindPauseEnd(*endpoints, m_send_system, Clock::now());
+  return FindPauseEnd(*endpoints, m_send_system, Clock::now(),
+                      {*endpoints, context.m_version_group});
 }
 
 // Refuses a request that no server takes before its deadline.
@@ -468,7 +531,8 @@
   const auto server = endpoints->m_servers.find(range->m_server);
   const TimePoint now = Clock::now();
   if (server == endpoints->m_servers.end() ||
-      now >= server->second.m_send_until) {
+      now >= server->second.m_send_until ||
+      !VersionChoice(*endpoints, std::nullopt).Allows(server->second)) {
     return nullptr;
   }
   // The server is asked on while its keys move, then no more.
@@ -480,11 +544,20 @@
   return &server->second;
 }
 
+// The schedulers do not know how a rollout divides the requests that any server
+// can run.
+bool RequestHandler::UsesPermits(const RequestContext& context) const {
+  const ServiceEndpoints* endpoints =
+      context.m_snapshot->FindEndpoints(context.m_service);
+  return m_scheduling.IsOn() &&
+         (context.m_sharded || !endpoints || !endpoints->m_rollout);
+}
+
 // Returns a server that the request may be sent to now, or null if the target
 // must be looked up again.
 const RoutedServer* RequestHandler::AcquireServer(RequestContext& context) {
-  return m_scheduling.IsOn() ? AcquirePermit(context)
-                             : AcquireOwnTurn(context);
+  return UsesPermits(context) ? AcquirePermit(context)
+                              : AcquireOwnTurn(context);
 }
 
 const RoutedServer* RequestHandler::AcquireOwnTurn(RequestContext& context) {
@@ -685,6 +758,8 @@
   const SendServerId id = m_send_system.GetOrInsert(server, started_at);
   m_send_system.OnSent(id);
   WakeQueueHead(id);
+  context.m_in_flight =
+      m_rollout_meter.OnSent(context.m_service, server, context.m_attempts > 0);
   ++context.m_attempts;
   context.m_last_server = server.m_id;
   context.m_tried_servers.insert(server.m_id);
@@ -707,6 +782,11 @@
   ReturnPermit(context,
                BuildPermitReturn(context, outcome, result, server_response,
                                  Clock::now() - started_at));
+  m_rollout_meter.OnEnded(
+      context.m_service, context.m_route->m_name, server,
+      context.ClientDisconnected() ? AttemptResult::kNoEvidence
+                                   : ResultOf(outcome),
+      started_at < server.m_cold_until, Clock::now() - started_at);
   WakeQueueHead(id);
   return outcome;
 }
@@ -720,9 +800,8 @@
     const ServerResponse& server_response,
     Duration latency) {
   constexpr std::array kEnds = {
-      PermitEnd::kResponded,  PermitEnd::kServerError,
-      PermitEnd::kUnreachable, PermitEnd::kRefused,
-      PermitEnd::kMisdirected, PermitEnd::kUnanswered};
+      PermitEnd::kResponded, PermitEnd::kServerError, PermitEnd::kUnreachable,
+      PermitEnd::kRefused,   PermitEnd::kMisdirected, PermitEnd::kUnanswered};
   PermitReturn permit_return;
   permit_return.m_end = kEnds.at(static_cast<size_t>(outcome));
   if (result.m_closed_at_once) {
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -14,6 +14,8 @@
 #include "gateway/front_end.h"
 #include "gateway/rate_limiter.h"
 #include "gateway/request_log.h"
+#include "gateway/rollout_meter.h"
+#include "gateway/rollout_splitter.h"
 #include "gateway/routing_snapshot.h"
 #include "gateway/send_system.h"
 #include "gateway/shared_scheduling.h"
@@ -56,6 +58,11 @@
   /// last such report if `with_loads`, and resets them.
   MemberReport CollectReport(TimePoint now, bool with_loads);
 
+  /// Returns what this host has seen of the running rollouts.
+  std::vector<RolloutCounts> CollectRolloutCounts() const {
+    return m_rollout_meter.Collect();
+  }
+
   /// Logs and counts how requests for admission ended since the last call.
   void LogAdmissions();
 
@@ -96,11 +103,15 @@
   const RoutedServer* FindOwner(RequestContext& context);
   static std::string FindOwnerId(const RoutingSnapshot& snapshot,
                                  const RequestContext& context);
+  VersionChoice ChooseVersion(RequestContext& context,
+                              const ServiceEndpoints& endpoints);
   std::optional<TimePoint> FindPauseEndOfTargets(const RequestContext& context);
   void RefuseDuringPause(RequestContext& context, TimePoint pause_end);
   void WaitForTarget(RequestContext& context);
   bool WaitForTurn(RequestContext& context, const RoutedServer& server);
   bool AcquireColdStart(RequestContext& context, const RoutedServer& server);
+  bool UsesPermits(const RequestContext& context) const;
+  bool HasTarget(RequestContext& context);
   const RoutedServer* AcquireServer(RequestContext& context);
   const RoutedServer* AcquireOwnTurn(RequestContext& context);
   const RoutedServer* AcquirePermit(RequestContext& context);
@@ -123,6 +134,7 @@
                                         const ExchangeResult& result,
                                         const ServerResponse& server_response,
                                         Duration latency);
+  static AttemptResult ResultOf(AttemptOutcome outcome);
   bool CanRetry(RequestContext& context, AttemptOutcome outcome);
   void ThrowFailure(const RequestContext& context,
                     ErrorCode not_run,
@@ -146,6 +158,8 @@
   ClientPatience m_patience;
   RateLimiter m_rate_limiter;
   TrafficSplitter m_splitter;
+  RolloutSplitter m_rollout_splitter;
+  RolloutMeter m_rollout_meter;
   std::shared_ptr<const RoutingSnapshot> m_snapshot;
   std::map<std::string, RetryBudget> m_retry_budgets;
 
--- a/src/gateway/shared_scheduling.cc
+++ b/src/gateway/shared_scheduling.cc
@@ -23,10 +23,9 @@
 
 // The load of a deployment whose workspaces have rates is bounded by these.
 bool HasRates(const RoutingConfig& config) {
-  return std::ranges::any_of(config.m_workspaces,
-                             [](const RoutedWorkspace& workspace) {
-                               return workspace.m_rate > 0;
-                             });
+  return std::ranges::any_of(
+      config.m_workspaces,
+      [](const RoutedWorkspace& workspace) { return workspace.m_rate > 0; });
 }
 
 std::vector<SchedulableServer> ListServers(const ServiceEndpoints& endpoints) {
@@ -91,10 +90,10 @@
   }
   PermitDecision decision;
   PermitAnswer answer;
-  answer.m_ticket = m_link.Acquire(
-      std::move(request), query.m_deadline, query.m_target_at,
-      std::move(schedulers), query.m_cancellation, query.m_still_wanted,
-      decision);
+  answer.m_ticket =
+      m_link.Acquire(std::move(request), query.m_deadline, query.m_target_at,
+                     std::move(schedulers), query.m_cancellation,
+                     query.m_still_wanted, decision);
   answer.m_state = decision.m_state;
   answer.m_server = decision.m_server;
   answer.m_retry_after = decision.m_retry_after;
@@ -126,8 +125,8 @@
     }
     std::vector<const ServerGroup*> excluded;
     for (const ServerGroup& group : endpoints->m_groups) {
-      if (std::ranges::find(refused, std::pair(group.m_data_centre,
-                                               group.m_number)) !=
+      if (std::ranges::find(refused,
+                            std::pair(group.m_data_centre, group.m_number)) !=
           refused.end()) {
         excluded.push_back(&group);
       }
--- a/src/scheduling/group_chooser.cc
+++ b/src/scheduling/group_chooser.cc
@@ -26,8 +26,8 @@
   }
   const double half_lives = ToSeconds(now - found->second.m_told_at) /
                             ToSeconds(m_settings.m_wait_half_life);
-  return remote + FromSeconds(ToSeconds(found->second.m_wait) *
-                              std::exp2(-half_lives));
+  return remote +
+         FromSeconds(ToSeconds(found->second.m_wait) * std::exp2(-half_lives));
 }
 
 // Removes and returns a group, at random by its slots.
@@ -60,8 +60,8 @@
   std::vector<const ServerGroup*> local;
   std::vector<const ServerGroup*> remote;
   for (const ServerGroup& group : groups) {
-    if (group.m_slots > 0 && std::ranges::find(excluded, &group) ==
-                                 excluded.end()) {
+    if (group.m_slots > 0 &&
+        std::ranges::find(excluded, &group) == excluded.end()) {
       (group.m_data_centre == m_data_centre ? local : remote).push_back(&group);
     }
   }
--- a/src/scheduling/permit_client.cc
+++ b/src/scheduling/permit_client.cc
@@ -195,8 +195,8 @@
       continue;
     }
     const bool waiting = row.m_decision.m_state == PermitState::kQueued;
-    if (waiting && (message.m_complete ||
-                    (row.m_repeat_at && now >= *row.m_repeat_at))) {
+    if (waiting &&
+        (message.m_complete || (row.m_repeat_at && now >= *row.m_repeat_at))) {
       row.m_request.m_time_left = ToMilliseconds(row.m_deadline - now);
       row.m_request.m_target_left = ToMilliseconds(row.m_target_at - now);
       message.m_requests.push_back(row.m_request);
@@ -252,8 +252,8 @@
       next = std::min(next, scheduler.m_next_list_at);
     }
     if (scheduler.m_unanswered_since) {
-      next = std::min(next, *scheduler.m_unanswered_since +
-                                m_settings.m_silence_timeout);
+      next = std::min(
+          next, *scheduler.m_unanswered_since + m_settings.m_silence_timeout);
     }
   }
   for (const auto& [ticket, row] : m_pending) {
--- a/src/scheduling/permit_client.h
+++ b/src/scheduling/permit_client.h
@@ -77,8 +77,8 @@
                std::string address,
                std::string incarnation);
 
-  /// Asks for a permit. `schedulers` are the addresses to ask, the preferred one
-  /// first. Returns the ticket, which the caller must end.
+  /// Asks for a permit. `schedulers` are the addresses to ask, the preferred
+  /// one first. Returns the ticket, which the caller must end.
   PermitTicket Ask(PermitRequest request,
                    TimePoint deadline,
                    TimePoint target_at,
--- a/tests/scheduling/permit_client_test.cc
+++ b/tests/scheduling/permit_client_test.cc
@@ -143,13 +143,19 @@
 TEST(PermitCodecTest, MessagesSurviveEncoding) {
   PermitRequests requests;
   requests.m_address = kSelf;
-  requests.m_requests.push_back({7, "billing", "", "tejo-1", 2, 1,
-                                 milliseconds(900), milliseconds(-5), true,
+  requests.m_requests.push_back({7,
+                                 "billing",
+                                 "",
+                                 "tejo-1",
+                                 2,
+                                 1,
+                                 milliseconds(900),
+                                 milliseconds(-5),
+                                 true,
                                  {"billing-02"}});
-  requests.m_returns.push_back({3, PermitEnd::kRefused,
-                                std::chrono::microseconds(1500),
-                                LoadReport{2, 5, 2, 1.5}, milliseconds(40),
-                                true});
+  requests.m_returns.push_back(
+      {3, PermitEnd::kRefused, std::chrono::microseconds(1500),
+       LoadReport{2, 5, 2, 1.5}, milliseconds(40), true});
   requests.m_held.push_back({3, "billing-01"});
   const auto decoded = std::get<PermitRequests>(
       DecodePermitMessage(EncodePermitMessage(requests)));
--- a/tests/scheduling/scheduler_choice_test.cc
+++ b/tests/scheduling/scheduler_choice_test.cc
@@ -125,9 +125,9 @@
 TEST_F(GroupChooserTest, ExcludedAndEmptyGroupsAreNotChosen) {
   m_groups[0].m_slots = 0;
   GroupChooser chooser({}, "tejo-1", 1);
-  EXPECT_EQ(chooser.Choose("billing", m_groups, {&m_groups[1], &m_groups[2]},
-                           m_now),
-            m_groups.data() + 3);
+  EXPECT_EQ(
+      chooser.Choose("billing", m_groups, {&m_groups[1], &m_groups[2]}, m_now),
+      m_groups.data() + 3);
   EXPECT_EQ(chooser.Choose("billing", m_groups,
                            {&m_groups[1], &m_groups[2], &m_groups[3]}, m_now),
             nullptr);
