--- a/src/scheduling/holder_system.cc
+++ b/src/scheduling/holder_system.cc
@@ -23,6 +23,10 @@
 // of an earlier run are recognized as such.
 constexpr std::chrono::seconds kForgetHostTime{30};
 
+// What has expired is ended this often: each message runs the systems, and most
+// find nothing to end.
+constexpr std::chrono::milliseconds kSweepInterval{20};
+
 // If this process has not run for this long, hosts seem silent that are not.
 constexpr std::chrono::milliseconds kOwnDelay{500};
 
@@ -120,7 +124,6 @@
   if (queue.m_waiting.empty()) {
     QueueCapacitySystem::Update(tables, queue, now);
   }
-  queue.m_has_new = true;
   WaitingRequestRow waiting;
   waiting.m_host = host_id;
   waiting.m_queue = queue_id;
@@ -140,9 +143,9 @@
                           const AskingHostRow& host,
                           PermitTicket ticket,
                           const TicketState& state) {
-  if (WaitingRequestRow* waiting = tables.m_waiting.Find(state.m_waiting)) {
-    waiting->m_decision_due = true;
-    tables.m_queues.Get(waiting->m_queue).m_has_new = true;
+  if (const auto* waiting = tables.m_waiting.Find(state.m_waiting)) {
+    tables.m_queues.Get(waiting->m_queue)
+        .m_decisions_due.push_back(state.m_waiting);
   } else if (const PermitRow* permit = tables.m_permits.Find(state.m_permit)) {
     AddDecision(tables, host,
                 {ticket, PermitState::kGranted, permit->m_server_name, {}, {}});
@@ -254,6 +257,10 @@
 void HolderSystem::Run(PermitTables& tables, TimePoint now) {
   const bool was_late = tables.m_last_run_at != TimePoint() &&
                         now - tables.m_last_run_at > kOwnDelay;
+  if (now - tables.m_last_swept_at < kSweepInterval) {
+    return;
+  }
+  tables.m_last_swept_at = now;
   tables.m_permits.ForEach([&](PermitId id, const PermitRow& permit) {
     if (permit.m_deadline <= now) {
       EndPermit(tables, id, now);
--- a/src/scheduling/permit_grant_system.cc
+++ b/src/scheduling/permit_grant_system.cc
@@ -16,16 +16,25 @@
 }  // namespace
 
 void PermitGrantSystem::Run(PermitTables& tables, TimePoint now) {
-  for (const bool after_group : {false, true}) {
-    tables.m_servers.ForEach([&](ScheduledServerId id, ScheduledServerRow&) {
-      GrantForServer(tables, id, after_group, now);
-    });
-    if (!after_group) {
-      tables.m_groups.ForEach([&](ServerGroupId id, ServerGroupRow&) {
-        GrantForGroup(tables, id, now);
-      });
+  std::vector<ScheduledServerId> servers;
+  std::vector<ServerGroupId> groups;
+  for (const PermitQueueId id : tables.m_busy_queues) {
+    const PermitQueueRow& queue = tables.m_queues.Get(id);
+    if (queue.m_server.IsValid()) {
+      servers.push_back(queue.m_server);
+    } else {
+      groups.push_back(queue.m_group);
     }
   }
+  for (const ScheduledServerId id : servers) {
+    GrantForServer(tables, id, false, now);
+  }
+  for (const ServerGroupId id : groups) {
+    GrantForGroup(tables, id, now);
+  }
+  for (const ScheduledServerId id : servers) {
+    GrantForServer(tables, id, true, now);
+  }
 }
 
 // Where both kinds of requests wait, the one that is first by the order goes
--- a/src/scheduling/permit_tables.cc
+++ b/src/scheduling/permit_tables.cc
@@ -47,6 +47,8 @@
   const WaitingKey key = row.m_key;
   const WaitingRequestId id = tables.m_waiting.Insert(std::move(row));
   queue.m_waiting.emplace(key, id);
+  queue.m_decisions_due.push_back(id);
+  tables.m_busy_queues.insert(tables.m_waiting.Get(id).m_queue);
   return id;
 }
 
@@ -57,6 +59,10 @@
   PriorityClass& of_priority = queue.m_classes[waiting.m_key.m_priority];
   --(waiting.m_key.m_late ? of_priority.m_waiting_late
                           : of_priority.m_waiting_in_time);
+  if (queue.m_waiting.empty()) {
+    queue.m_decisions_due.clear();
+    tables.m_busy_queues.erase(waiting.m_queue);
+  }
   tables.m_waiting.Erase(id);
 }
 
--- a/src/scheduling/permit_tables.h
+++ b/src/scheduling/permit_tables.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -118,6 +119,9 @@
   /// Permits that are due to the class that has waited longest.
   double m_fair_credit = 0;
 
+  /// When the values below were last measured.
+  TimePoint m_measured_at;
+
   /// Expected requests per second and time of one request at the servers; 0 if
   /// unknown.
   double m_capacity = 0;
@@ -126,8 +130,8 @@
   /// When one of the servers may get permits again; in the past if one may now.
   TimePoint m_open_at;
 
-  /// A decision on a waiting request is due.
-  bool m_has_new = false;
+  /// Requests whose hosts must be told that they wait.
+  std::vector<WaitingRequestId> m_decisions_due;
 
   /// Whether any server takes requests of the queue.
   bool m_has_servers = true;
@@ -146,9 +150,6 @@
   TimePoint m_deadline;
   TimePoint m_target_at;
 
-  /// The host must be told that the request waits.
-  bool m_decision_due = true;
-
   /// The request was found worth waiting when it arrived.
   bool m_judged = false;
 };
@@ -199,6 +200,9 @@
   Table<ScheduledServerRow> m_servers;
   Table<ServerGroupRow> m_groups;
   Table<PermitQueueRow> m_queues;
+
+  /// Queues in which requests wait; the others cost no time.
+  std::set<PermitQueueId> m_busy_queues;
   Table<WaitingRequestRow> m_waiting;
   Table<PermitRow> m_permits;
   Table<AskingHostRow> m_hosts;
@@ -217,6 +221,9 @@
   /// When `Run` was last called, and when all waiting requests were last
   /// judged.
   TimePoint m_last_run_at;
+
+  /// When what has expired was last ended.
+  TimePoint m_last_swept_at;
   TimePoint m_last_judged_at;
 
   /// A message has arrived since the last `Run`.
--- a/src/scheduling/queue_capacity_system.cc
+++ b/src/scheduling/queue_capacity_system.cc
@@ -11,6 +11,10 @@
 // server has ended.
 constexpr std::chrono::seconds kLeavingTime{1};
 
+// The capacity changes little within this time, and measuring it visits all
+// servers of the queue.
+constexpr std::chrono::milliseconds kInterval{10};
+
 // Sums over the servers of a queue.
 struct Totals {
   // Requests per second, of the servers that take requests and of all.
@@ -48,16 +52,18 @@
 }  // namespace
 
 void QueueCapacitySystem::Run(PermitTables& tables, TimePoint now) {
-  tables.m_queues.ForEach([&](PermitQueueId, PermitQueueRow& queue) {
-    if (!queue.m_waiting.empty()) {
+  for (const PermitQueueId id : tables.m_busy_queues) {
+    PermitQueueRow& queue = tables.m_queues.Get(id);
+    if (now - queue.m_measured_at >= kInterval) {
       Update(tables, queue, now);
     }
-  });
+  }
 }
 
 void QueueCapacitySystem::Update(PermitTables& tables,
                                  PermitQueueRow& queue,
                                  TimePoint now) {
+  queue.m_measured_at = now;
   Totals totals;
   if (const ScheduledServerRow* server =
           tables.m_servers.Find(queue.m_server)) {
--- a/src/scheduling/refusal_system.cc
+++ b/src/scheduling/refusal_system.cc
@@ -1,5 +1,6 @@
 #include "scheduling/refusal_system.h"
 
+#include <utility>
 #include <vector>
 
 #include "scheduling/wait_estimate.h"
@@ -11,50 +12,43 @@
   if (judge_all) {
     tables.m_last_judged_at = now;
   }
-  tables.m_queues.ForEach([&](PermitQueueId, PermitQueueRow& queue) {
-    if (queue.m_waiting.empty()) {
-      return;
-    }
+  for (const PermitQueueId id : std::vector<PermitQueueId>(
+           tables.m_busy_queues.begin(), tables.m_busy_queues.end())) {
+    PermitQueueRow& queue = tables.m_queues.Get(id);
     if (judge_all || !queue.m_has_servers) {
       JudgeAll(tables, queue, now);
     }
     JudgeNew(tables, queue, now);
-  });
+  }
 }
 
 void RefusalSystem::JudgeNew(PermitTables& tables,
                              PermitQueueRow& queue,
                              TimePoint now) {
-  if (!queue.m_has_new) {
-    return;
-  }
-  queue.m_has_new = false;
-  std::vector<WaitingRequestId> arrived;
-  for (const auto& [key, id] : queue.m_waiting) {
-    if (tables.m_waiting.Get(id).m_decision_due) {
-      arrived.push_back(id);
-    }
-  }
+  const std::vector<WaitingRequestId> due =
+      std::exchange(queue.m_decisions_due, {});
   const WaitEstimate estimate(tables.m_settings, queue, now);
-  for (const WaitingRequestId id : arrived) {
-    WaitingRequestRow& waiting = tables.m_waiting.Get(id);
-    waiting.m_decision_due = false;
+  for (const WaitingRequestId id : due) {
+    WaitingRequestRow* waiting = tables.m_waiting.Find(id);
+    if (!waiting) {
+      continue;  // granted or refused meanwhile
+    }
     // A repeated request has been judged before.
-    if (!waiting.m_judged) {
-      waiting.m_judged = true;
-      if (!estimate.CanAnswerNewRequest(waiting)) {
-        ++GetCounts(tables, queue.m_service, waiting.m_key.m_priority)
+    if (!waiting->m_judged) {
+      waiting->m_judged = true;
+      if (!estimate.CanAnswerNewRequest(*waiting)) {
+        ++GetCounts(tables, queue.m_service, waiting->m_key.m_priority)
               .m_refused_at_arrival;
         RejectWaiting(tables, id, PermitState::kRefused, now);
         continue;
       }
     }
-    AddDecision(tables, tables.m_hosts.Get(waiting.m_host),
-                {waiting.m_request.m_ticket,
+    AddDecision(tables, tables.m_hosts.Get(waiting->m_host),
+                {waiting->m_request.m_ticket,
                  PermitState::kQueued,
                  {},
                  {},
-                 estimate.ForNewRequest(waiting.m_key.m_priority)});
+                 estimate.ForNewRequest(waiting->m_key.m_priority)});
   }
 }
 
--- a/src/scheduling/server_registry.cc
+++ b/src/scheduling/server_registry.cc
@@ -61,6 +61,7 @@
     row = std::move(fresh);
   }
   row.m_entry = entry;
+  tables.m_queues.Get(row.m_queue).m_measured_at = {};
 }
 
 void ServerRegistry::EraseQueue(PermitTables& tables,
@@ -117,7 +118,9 @@
     for (const ScheduledServerId id : ids) {
       tables.m_servers.Get(id).m_group = named->second;
     }
-    tables.m_groups.Get(named->second).m_servers = std::move(ids);
+    ServerGroupRow& group = tables.m_groups.Get(named->second);
+    group.m_servers = std::move(ids);
+    tables.m_queues.Get(group.m_queue).m_measured_at = {};
   }
 }
 
--- a/src/scheduling/server_window.cc
+++ b/src/scheduling/server_window.cc
@@ -24,17 +24,20 @@
 
 }  // namespace
 
-// The first rule that applies holds.
-const ServerWindow::Rule ServerWindow::kRules[] = {
-    {&ServerWindow::IsClosed, &ServerWindow::None},
-    {&ServerWindow::IsProbed, &ServerWindow::One},
-    {&ServerWindow::IsCold, &ServerWindow::HalfOfSlots},
-    {&ServerWindow::IsSlow, &ServerWindow::SlotsOnly},
-    {&ServerWindow::IsTransitLong, &ServerWindow::SlotsAndReserve},
-    {&ServerWindow::Always, &ServerWindow::SlotsOnly},
-};
-
 uint32_t ServerWindow::Size() const {
+  struct Rule {
+    bool (ServerWindow::*m_applies)() const;
+    double (ServerWindow::*m_size)() const;
+  };
+  // The first rule that applies holds.
+  static constexpr Rule kRules[] = {
+      {&ServerWindow::IsClosed, &ServerWindow::None},
+      {&ServerWindow::IsProbed, &ServerWindow::One},
+      {&ServerWindow::IsCold, &ServerWindow::HalfOfSlots},
+      {&ServerWindow::IsSlow, &ServerWindow::SlotsOnly},
+      {&ServerWindow::IsTransitLong, &ServerWindow::SlotsAndReserve},
+      {&ServerWindow::Always, &ServerWindow::SlotsOnly},
+  };
   for (const Rule& rule : kRules) {
     if ((this->*rule.m_applies)()) {
       double size = (this->*rule.m_size)();
@@ -54,6 +57,9 @@
 }
 
 bool ServerWindow::HasRoom() const {
+  if (m_server.m_active.size() >= FullSize(m_tables, m_server)) {
+    return false;  // spares the rules in the usual case of a busy server
+  }
   // Unanswered attempts fill the window of a server that does not respond. The
   // pauses between probes bound the load instead.
   const uint32_t in_use =
--- a/src/scheduling/server_window.h
+++ b/src/scheduling/server_window.h
@@ -34,13 +34,6 @@
                            const ScheduledServerRow& server);
 
  private:
-  /// One rule: when it applies, and the window by it.
-  struct Rule {
-    bool (ServerWindow::*m_applies)() const;
-    double (ServerWindow::*m_size)() const;
-  };
-  static const Rule kRules[];
-
   bool IsClosed() const;
   bool IsCold() const;
   bool IsSlow() const;
