Permits: reserve by transit time, errors that fade, keys with owners

The transit is measured on responses only, because an unused permit says nothing of it. The error fraction of a server fades without responses, so that a recovered server is tried again; before, only responses lowered it, which it did not get. Ruled out: a larger fixed reserve, which lets requests wait at the servers out of their order.

--- a/src/scheduling/permit_scheduler.h
+++ b/src/scheduling/permit_scheduler.h
@@ -30,9 +30,8 @@
 
 /// Limits of a `PermitScheduler`.
 struct PermitSchedulerSettings {
-  /// Permits of a server beyond its slots, so that the server does not idle
-  /// while a returned permit is on its way. Used only where this takes more
-  /// than a small part of a request's time.
+  /// Most permits of a server beyond its slots, for every two slots. They
+  /// replace the slots that idle while returned permits are on their way.
   uint32_t m_reserve = 1;
 
   /// Fraction of the permits that go to the class of requests that has waited
--- a/src/scheduling/permit_tables.h
+++ b/src/scheduling/permit_tables.h
@@ -12,6 +12,7 @@
 
 #include "core/table.h"
 #include "core/time.h"
+#include "scheduling/error_fraction.h"
 #include "scheduling/permit_messages.h"
 #include "scheduling/permit_scheduler.h"
 #include "scheduling/server_speed.h"
@@ -59,8 +60,7 @@
   double m_other_requests = 0;
   TimePoint m_reported_at;
 
-  /// Smoothed fraction of responses that were errors.
-  double m_error_fraction = 0;
+  ErrorFraction m_errors;
 
   /// Number of consecutive attempts without a response or a connection.
   uint32_t m_failures = 0;
--- a/src/scheduling/server_choice.cc
+++ b/src/scheduling/server_choice.cc
@@ -24,7 +24,7 @@
   const double slots = std::max(1U, server.m_entry.m_slots);
   return (seconds > 0 ? seconds : 1) * (1 + load / slots) *
          (now < server.m_entry.m_cold_until ? kColdFactor : 1) *
-         (1 + kErrorFactor * server.m_error_fraction);
+         (1 + kErrorFactor * server.m_errors.Get(now));
 }
 
 }  // namespace
--- a/src/scheduling/server_feedback.cc
+++ b/src/scheduling/server_feedback.cc
@@ -8,9 +8,7 @@
 namespace foxtail {
 namespace {
 
-// Weights of a new response in the smoothed error fraction and of a new report
-// in the smoothed number of other senders' requests.
-constexpr double kErrorGain = 0.1;
+// Weight of a new report in the smoothed number of other senders' requests.
 constexpr double kOtherRequestsGain = 0.3;
 
 // Weight of a new permit in the smoothed transit time.
@@ -54,10 +52,12 @@
   if (returned.m_load) {
     ApplyLoad(*server, *returned.m_load);
   }
-  const double transit = std::max(
-      0.0, ToSeconds(m_now - permit.m_granted_at - returned.m_latency));
-  server->m_transit_seconds +=
-      kTransitGain * (transit - server->m_transit_seconds);
+  if (returned.m_end == PermitEnd::kResponded) {
+    const double transit = std::max(
+        0.0, ToSeconds(m_now - permit.m_granted_at - returned.m_latency));
+    server->m_transit_seconds +=
+        kTransitGain * (transit - server->m_transit_seconds);
+  }
   (this->*FindLesson(returned.m_end))(*server, permit, returned);
   if (returned.m_pause > std::chrono::milliseconds(0)) {
     CloseFor(*server, returned.m_pause);
@@ -102,7 +102,7 @@
                                  const PermitReturn& returned) {
   server.m_failures = 0;
   server.m_refusals = 0;
-  server.m_error_fraction -= kErrorGain * server.m_error_fraction;
+  server.m_errors.Add(false, m_now);
   server.m_speed.Add(returned.m_latency, returned.m_load, m_now);
   if (ServerGroupRow* group = m_tables.m_groups.Find(server.m_group)) {
     std::optional<LoadReport> load = returned.m_load;
@@ -127,14 +127,14 @@
                                    const PermitRow& /*permit*/,
                                    const PermitReturn& /*returned*/) {
   server.m_failures = 0;
-  server.m_error_fraction += kErrorGain * (1 - server.m_error_fraction);
+  server.m_errors.Add(true, m_now);
 }
 
 void ServerFeedback::OnRefused(ScheduledServerRow& server,
                                const PermitRow& /*permit*/,
                                const PermitReturn& /*returned*/) {
   server.m_failures = 0;
-  server.m_error_fraction += kErrorGain * (1 - server.m_error_fraction);
+  server.m_errors.Add(true, m_now);
   LowerLimit(server);
   // A slot is free after about the time of a request divided by the slots.
   const double seconds = ExpectedSeconds(m_tables, server, m_now) /
@@ -153,7 +153,7 @@
                                    const PermitRow& /*permit*/,
                                    const PermitReturn& /*returned*/) {
   server.m_failures = 0;
-  server.m_error_fraction += kErrorGain * (1 - server.m_error_fraction);
+  server.m_errors.Add(true, m_now);
 }
 
 // A full server may also reset the connection or not respond.
@@ -171,7 +171,7 @@
                                    const PermitReturn& /*returned*/) {
   const uint32_t doublings = std::min(server.m_failures, kMaxDoublings);
   ++server.m_failures;
-  server.m_error_fraction += kErrorGain * (1 - server.m_error_fraction);
+  server.m_errors.Add(true, m_now);
   CloseFor(server,
            std::min<Duration>(kMaxPause, kFirstPause * (1U << doublings)));
 }
--- a/src/scheduling/server_window.cc
+++ b/src/scheduling/server_window.cc
@@ -14,10 +14,9 @@
 // worth keeping the slots busy.
 constexpr double kSlowFactor = 2;
 
-// The reserve is used if a slot would idle for more than this part of a
-// request's time between two requests. Below, it would only let one request
-// wait at the server, where it keeps its place from more urgent ones.
-constexpr double kMaxIdleFraction = 0.1;
+// No reserve replaces less than this part of an idle slot: it would only let a
+// request wait at the server, where it keeps its place from more urgent ones.
+constexpr double kMinIdleSlots = 0.2;
 
 // Reports of other senders' requests are used for this long.
 constexpr std::chrono::seconds kReportAge{2};
@@ -35,8 +34,7 @@
       {&ServerWindow::IsProbed, &ServerWindow::One},
       {&ServerWindow::IsCold, &ServerWindow::HalfOfSlots},
       {&ServerWindow::IsSlow, &ServerWindow::SlotsOnly},
-      {&ServerWindow::IsTransitLong, &ServerWindow::SlotsAndReserve},
-      {&ServerWindow::Always, &ServerWindow::SlotsOnly},
+      {&ServerWindow::Always, &ServerWindow::SlotsAndReserve},
   };
   for (const Rule& rule : kRules) {
     if ((this->*rule.m_applies)()) {
@@ -74,7 +72,8 @@
 
 uint32_t ServerWindow::FullSize(const PermitTables& tables,
                                 const ScheduledServerRow& server) {
-  return std::max(1U, server.m_entry.m_slots) + tables.m_settings.m_reserve;
+  const uint32_t slots = std::max(1U, server.m_entry.m_slots);
+  return slots + tables.m_settings.m_reserve * std::max(1U, slots / 2);
 }
 
 bool ServerWindow::IsClosed() const {
@@ -93,13 +92,6 @@
   return m_server.m_speed.Slowdown(m_now) > kSlowFactor;
 }
 
-// Between two requests, a slot waits for the response and the returned permit,
-// then for the next permit and request: about twice the permit's transit.
-bool ServerWindow::IsTransitLong() const {
-  const double seconds = ExpectedSeconds(m_tables, m_server, m_now);
-  return 2 * m_server.m_transit_seconds > kMaxIdleFraction * seconds;
-}
-
 double ServerWindow::HalfOfSlots() const {
   return std::max(1U, m_server.m_entry.m_slots / 2);
 }
@@ -108,8 +100,18 @@
   return std::max(1U, m_server.m_entry.m_slots);
 }
 
+// Between two requests, a slot waits for the response and the returned permit,
+// then for the next permit and request: about twice the permit's transit. The
+// reserve replaces the slots that are idle for this reason.
 double ServerWindow::SlotsAndReserve() const {
-  return FullSize(m_tables, m_server);
+  const double seconds = ExpectedSeconds(m_tables, m_server, m_now);
+  if (seconds <= 0) {
+    return SlotsOnly();
+  }
+  const double idle_slots =
+      SlotsOnly() * 2 * m_server.m_transit_seconds / seconds;
+  const double reserve = std::ceil(std::max(0.0, idle_slots - kMinIdleSlots));
+  return std::min<double>(SlotsOnly() + reserve, FullSize(m_tables, m_server));
 }
 
 }  // namespace foxtail
--- a/src/scheduling/server_window.h
+++ b/src/scheduling/server_window.h
@@ -29,7 +29,7 @@
   /// Returns whether the server does not respond and is only probed.
   bool IsProbed() const;
 
-  /// Returns the window of an unloaded server, its reserve included.
+  /// Returns the largest window of a server, its reserve included.
   static uint32_t FullSize(const PermitTables& tables,
                            const ScheduledServerRow& server);
 
@@ -37,7 +37,6 @@
   bool IsClosed() const;
   bool IsCold() const;
   bool IsSlow() const;
-  bool IsTransitLong() const;
   bool Always() const { return true; }
   double None() const { return 0; }
   double One() const { return 1; }
--- a/tests/scheduling/replay_world.h
+++ b/tests/scheduling/replay_world.h
@@ -112,6 +112,9 @@
   std::vector<FakeClass> m_classes;
   uint32_t m_hosts = 20;
 
+  /// Each request can only run at one server, as with shard keys.
+  bool m_named_servers = false;
+
   /// Fraction of datagrams that are lost, and of those that arrive twice.
   double m_lost = 0;
   double m_repeated = 0;
@@ -154,6 +157,7 @@
       request.m_class = index;
       request.m_host = m_next_host++ % m_hosts;
       request.m_arrived_at = m_now;
+      request.m_server = m_requests.size() % m_servers.size();
       m_requests.push_back(request);
       Ask(m_requests.size() - 1);
       ScheduleArrival(index, end);
@@ -217,7 +221,11 @@
     asked.m_target_left =
         ToMilliseconds(request.m_arrived_at + ClassOf(id).m_target - m_now);
     asked.m_returning = request.m_returning;
-    asked.m_excluded = request.m_excluded;
+    if (m_named_servers) {
+      asked.m_server = m_servers[request.m_server].m_id;
+    } else {
+      asked.m_excluded = request.m_excluded;
+    }
     message.m_requests.push_back(asked);
     Send(message);
     After(std::chrono::milliseconds(request.m_queued ? 400 : 100),
@@ -296,6 +304,9 @@
     Request& request = m_requests[id];
     ServiceEndpoints endpoints;
     for (const FakeServer& server : m_servers) {
+      if (m_named_servers && &server != &m_servers[request.m_server]) {
+        continue;
+      }
       RoutedServer& routed = endpoints.m_servers[server.m_id];
       routed.m_id = server.m_id;
       routed.m_data_centre = "dc";
