--- a/src/gateway/shared_scheduling.cc
+++ b/src/gateway/shared_scheduling.cc
@@ -28,16 +28,9 @@
       [](const RoutedWorkspace& workspace) { return workspace.m_rate > 0; });
 }
 
-std::vector<SchedulableServer> ListServers(const ServiceEndpoints& endpoints) {
-  std::vector<SchedulableServer> servers;
-  for (const auto& [id, server] : endpoints.m_servers) {
-    if (!server.m_ended) {
-      servers.push_back({id, server.m_incarnation, server.m_data_centre,
-                         server.m_slots, server.m_cold_until,
-                         server.m_eligible});
-    }
-  }
-  return servers;
+SchedulableServer ToSchedulable(const RoutedServer& server) {
+  return {server.m_id,    server.m_incarnation, server.m_data_centre,
+          server.m_slots, server.m_cold_until,  server.m_eligible};
 }
 
 }  // namespace
@@ -60,12 +53,56 @@
            !HasRates(snapshot->m_routes->GetConfig())));
   if (m_on) {
     for (const auto& [service, endpoints] : snapshot->m_endpoints) {
-      m_link.SetServers(service, ListServers(endpoints));
+      RegisterServers(service, endpoints);
     }
   }
   m_link.WakeAll();
 }
 
+bool SharedScheduling::IsAmongSchedulers(const std::string& key,
+                                         const std::string& data_centre,
+                                         double weight_exponent) const {
+  const auto ranked = m_snapshot->m_schedulers.Rank(
+      key, data_centre, kSchedulers, weight_exponent);
+  return std::ranges::any_of(ranked, [this](const SchedulingHost* host) {
+    return host->m_address == m_link.GetAddress();
+  });
+}
+
+// Registers only the servers that this host schedules, or would if the
+// preferred scheduler fell silent: a host pays for each registered server in
+// each run of its decisions. The servers of a service with keys are scheduled
+// one by one, those of other services as the groups of their data centre.
+void SharedScheduling::RegisterServers(const std::string& service,
+                                       const ServiceEndpoints& endpoints) {
+  const RoutedService* routed = m_snapshot->m_routes->FindService(service);
+  const bool sharded = routed && routed->m_sharded;
+  std::set<std::string> data_centres;
+  for (const ServerGroup& group : endpoints.m_groups) {
+    if (!sharded &&
+        IsAmongSchedulers(
+            GroupScheduleKey(service, group.m_data_centre, group.m_number),
+            group.m_data_centre, kGroupWeightExponent)) {
+      data_centres.insert(group.m_data_centre);
+    }
+  }
+  std::vector<SchedulableServer> servers;
+  for (const auto& [id, server] : endpoints.m_servers) {
+    const bool scheduled =
+        sharded ? IsAmongSchedulers(ServerScheduleKey(service, id),
+                                    server.m_data_centre, kServerWeightExponent)
+                : data_centres.contains(server.m_data_centre);
+    if (scheduled && !server.m_ended) {
+      servers.push_back(ToSchedulable(server));
+    }
+  }
+  std::vector<SchedulableServer>& registered = m_registered[service];
+  if (registered != servers) {
+    m_link.SetServers(service, servers);
+    registered = std::move(servers);
+  }
+}
+
 PermitAnswer SharedScheduling::Ask(const PermitQuery& query,
                                    const std::string& data_centre,
                                    uint32_t group,
--- a/src/gateway/shared_scheduling.h
+++ b/src/gateway/shared_scheduling.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -76,6 +77,11 @@
   size_t CountOpen() const { return m_link.CountOpen(); }
 
  private:
+  bool IsAmongSchedulers(const std::string& key,
+                         const std::string& data_centre,
+                         double weight_exponent) const;
+  void RegisterServers(const std::string& service,
+                       const ServiceEndpoints& endpoints);
   PermitAnswer Ask(const PermitQuery& query,
                    const std::string& data_centre,
                    uint32_t group,
@@ -90,6 +96,9 @@
   PermitLink m_link;
   GroupChooser m_chooser;
   std::shared_ptr<const RoutingSnapshot> m_snapshot;
+
+  /// The servers of each service that this host schedules.
+  std::map<std::string, std::vector<SchedulableServer>> m_registered;
 };
 
 }  // namespace foxtail
--- a/src/scheduling/permit_link.h
+++ b/src/scheduling/permit_link.h
@@ -29,6 +29,8 @@
   PermitLink(const PermitLink&) = delete;
   PermitLink& operator=(const PermitLink&) = delete;
 
+  const std::string& GetAddress() const { return m_address; }
+
   /// Opens the socket and starts the fibers. Waits while another socket has the
   /// address.
   void Start();
--- a/src/scheduling/permit_scheduler.h
+++ b/src/scheduling/permit_scheduler.h
@@ -20,6 +20,8 @@
 
   /// Whether the server accepts new work from hosts that may choose a server.
   bool m_eligible = true;
+
+  bool operator==(const SchedulableServer&) const = default;
 };
 
 /// Decisions to send to one host.
