Operators see permits by service and priority

The counts of the scheduler go into the log every five seconds, for the classes in which something was refused or abandoned, with a bound on the lines, and into foxtail_permits_total. Ruled out: one line for each decision, which a burst would multiply beyond the log's bounds.

--- a/src/core/event.cc
+++ b/src/core/event.cc
@@ -148,6 +148,12 @@
               "refused_without_leader",
               "How a workspace's requests were admitted or refused by rate "
               "since the last summary."},
+    EventInfo{kPermitSummary, "permit_summary",
+              "service priority granted waited_ms refused_at_arrival "
+              "refused_later abandoned refused_by_server",
+              "What became of the requests for permits of the backend servers "
+              "that this host schedules, since the last summary; waited_ms is "
+              "the mean wait of those granted."},
     EventInfo{kRequestSuspected, "request_suspected", "cell server fingerprint",
               "A request was in flight when its backend server crashed."},
     EventInfo{kRequestCondemned, "request_condemned", "cell fingerprint",
--- a/src/gateway/gateway_traffic_thread.cc
+++ b/src/gateway/gateway_traffic_thread.cc
@@ -209,6 +209,7 @@
     boost::this_fiber::sleep_for(kSummaryPeriod);
     m_handler->Expire(Clock::now());
     m_handler->LogAdmissions();
+    m_handler->LogPermits();
     m_request_log.LogSummary(m_handler->CountInFlight(), ConfigurationAge(),
                              m_handler->ConfigurationVersion());
   }
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -435,10 +435,10 @@
   }
   const ServiceEndpoints* endpoints =
       context.m_snapshot->FindEndpoints(context.m_service);
-  return endpoints && std::ranges::any_of(endpoints->m_groups,
-                                          [](const ServerGroup& group) {
-                                            return group.m_slots > 0;
-                                          });
+  return endpoints &&
+         std::ranges::any_of(endpoints->m_groups, [](const ServerGroup& group) {
+           return group.m_slots > 0;
+         });
 }
 
 const RoutedServer* RequestHandler::FindTarget(RequestContext& context) {
@@ -927,6 +927,27 @@
   m_request_log.LogAdmissions(counts);
 }
 
+void RequestHandler::LogPermits() {
+  const std::vector<PermitCounts> counts = m_scheduling.TakeCounts();
+  for (const PermitCounts& of_class : counts) {
+    const std::array<std::pair<const char*, uint64_t>, 5> outcomes = {
+        {{"granted", of_class.m_granted},
+         {"refused_at_arrival", of_class.m_refused_at_arrival},
+         {"refused_later", of_class.m_refused_later},
+         {"abandoned", of_class.m_abandoned},
+         {"refused_by_server", of_class.m_refused_by_server}}};
+    for (const auto& [outcome, count] : outcomes) {
+      if (count > 0) {
+        m_metrics.Count("foxtail_permits_total", "class",
+                        of_class.m_service + "/" +
+                            std::to_string(of_class.m_priority) + "/" + outcome,
+                        count);
+      }
+    }
+  }
+  m_request_log.LogPermits(counts);
+}
+
 std::vector<LeavingServer> RequestHandler::TakeLeavingServers() {
   return std::exchange(m_new_leaving, {});
 }
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -66,6 +66,10 @@
   /// Logs and counts how requests for admission ended since the last call.
   void LogAdmissions();
 
+  /// Logs and counts what became of the requests for permits of this host's
+  /// servers since the last call.
+  void LogPermits();
+
   RateLimiter& GetRateLimiter() { return m_rate_limiter; }
 
   /// Sets the callback that runs when a server has told that it is leaving.
--- a/src/gateway/request_log.cc
+++ b/src/gateway/request_log.cc
@@ -1,5 +1,6 @@
 #include "gateway/request_log.h"
 
+#include <algorithm>
 #include <numeric>
 
 namespace foxtail {
@@ -10,6 +11,9 @@
 constexpr uint32_t kMaxEventsPerWindow = 10;
 constexpr std::chrono::seconds kWindow{1};
 
+// Limit on the services and priorities that one summary of permits names.
+constexpr size_t kMaxLoggedClasses = 20;
+
 std::vector<EventField> BuildFields(const RequestLogEntry& entry) {
   return {{"request", entry.m_request_id}, {"workspace", entry.m_workspace},
           {"service", entry.m_service},    {"server", entry.m_server},
@@ -94,6 +98,40 @@
   }
 }
 
+void RequestLog::LogPermits(const std::vector<PermitCounts>& counts) {
+  size_t logged = 0;
+  for (const PermitCounts& of_class : counts) {
+    const uint64_t refused =
+        of_class.m_refused_at_arrival + of_class.m_refused_later;
+    if (refused + of_class.m_abandoned + of_class.m_refused_by_server == 0) {
+      continue;
+    }
+    if (++logged > kMaxLoggedClasses) {
+      continue;
+    }
+    const auto waited =
+        of_class.m_waited /
+        std::max<int64_t>(1, static_cast<int64_t>(of_class.m_granted));
+    m_events.Write(
+        EventNumber::kPermitSummary,
+        {{"service", of_class.m_service},
+         {"priority", of_class.m_priority},
+         {"granted", of_class.m_granted},
+         {"waited_ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(waited)
+              .count()},
+         {"refused_at_arrival", of_class.m_refused_at_arrival},
+         {"refused_later", of_class.m_refused_later},
+         {"abandoned", of_class.m_abandoned},
+         {"refused_by_server", of_class.m_refused_by_server}});
+  }
+  if (logged > kMaxLoggedClasses) {
+    m_events.Write(
+        EventNumber::kEventsSuppressed,
+        {{"kind", "permit_summary"}, {"count", logged - kMaxLoggedClasses}});
+  }
+}
+
 void RequestLog::LogSummary(size_t in_flight,
                             std::chrono::milliseconds configuration_age,
                             uint64_t version) {
--- a/src/gateway/request_log.h
+++ b/src/gateway/request_log.h
@@ -9,6 +9,7 @@
 #include "core/event.h"
 #include "core/time.h"
 #include "gateway/rate_admission.h"
+#include "scheduling/permit_scheduler.h"
 
 namespace foxtail {
 
@@ -45,6 +46,10 @@
   /// leader's tokens did not suffice for.
   void LogAdmissions(const std::map<std::string, AdmissionCounts>& counts);
 
+  /// Logs what became of the requests for permits of this host's servers, for
+  /// the services and priorities in which some were refused or abandoned.
+  void LogPermits(const std::vector<PermitCounts>& counts);
+
   void CountRequest() { ++m_requests; }
   void CountServed() { ++m_served; }
 
