Rollouts: traffic moves to an ordered version in steps, or back

Operators can order a service's traffic onto the servers of a version, and until now nothing read such an order: the servers of any version were used at once. The leader now judges the version by the responses that all hosts count per route and version, moves the traffic in steps that are recorded in the cluster table, and reports the state in a row of its own. A version that fails or is slow is rejected through datagrams before the store has it. A rule on rates estimated from few responses was ruled out, as it gave no bound on wrong rollbacks; a likelihood ratio of both groups' counts needs no estimate. Sums since the order were taken instead of sums since the last report, which a lost datagram would shorten. Hosts without a leader choose the new version for no request, because a store outage takes the leader away with it and nobody could stop a bad version then. Without an order the choices and store calls are as before.

--- a/src/core/event.cc
+++ b/src/core/event.cc
@@ -95,6 +95,15 @@
               "share_charged stock outstanding withheld",
               "Rate tokens that the leader issued since the last such event, "
               "and what it holds."},
+    EventInfo{kRolloutStep, "rollout_step",
+              "cell target step share_permille requests target_requests",
+              "A rollout gives the target version another share of the "
+              "requests; requests so far, of all versions and of this one."},
+    EventInfo{kRolloutEnded, "rollout_ended",
+              "cell target state reason route bad responses requests "
+              "target_requests",
+              "A rollout is completed or rolled back; for a rollback the kind "
+              "of the bad responses, their route (empty for all) and numbers."},
     EventInfo{kPlanMade, "plan_made", "plan base moves",
               "A plan was stored and awaits confirmation."},
     EventInfo{kPlanConfirmed, "plan_confirmed", "plan version",
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -49,6 +49,8 @@
   kOutageHolds = 331,
   kEvacuationChanged = 340,
   kTokensIssued = 350,
+  kRolloutStep = 360,
+  kRolloutEnded = 361,
   kPlanMade = 400,
   kPlanConfirmed = 401,
   kPlanAbandoned = 402,
--- a/src/gateway/backend_server.h
+++ b/src/gateway/backend_server.h
@@ -17,6 +17,9 @@
   std::string m_data_centre;
   uint32_t m_slots = 1;
 
+  /// Version of the server's software; empty if it does not tell.
+  std::string m_software_version;
+
   /// The server must receive no new requests and will shut down.
   bool m_draining = false;
 
--- a/src/gateway/cluster_codec.cc
+++ b/src/gateway/cluster_codec.cc
@@ -114,6 +114,57 @@
           m.m_tokens.m_grants);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, RolloutRecord& m) {  // NOLINT
+  archive(m.m_service, m.m_target, m.m_order, m.m_state, m.m_step, m.m_share,
+          m.m_ordered_at_ms, m.m_requests, m.m_target_requests, m.m_rejected);
+}
+
+// Most classes are empty, so only the others are sent.
+template <typename Archive>
+void save(Archive& archive, const VersionCounts& m) {  // NOLINT
+  std::vector<std::pair<uint8_t, uint32_t>> classes;
+  for (size_t i = 0; i < kLatencyClasses; ++i) {
+    if (m.m_latencies[i] > 0) {
+      classes.emplace_back(static_cast<uint8_t>(i), m.m_latencies[i]);
+    }
+  }
+  archive(m.m_ended, m.m_failed, classes);
+}
+
+template <typename Archive>
+void load(Archive& archive, VersionCounts& m) {  // NOLINT
+  std::vector<std::pair<uint8_t, uint32_t>> classes;
+  archive(m.m_ended, m.m_failed, classes);
+  for (const auto& [latency_class, count] : classes) {
+    if (latency_class >= kLatencyClasses) {
+      throw Error(ErrorCode::kMessageMalformed, "class of latency");
+    }
+    m.m_latencies[latency_class] = count;
+  }
+}
+
+template <typename Archive>
+void serialize(Archive& archive, RouteCounts& m) {  // NOLINT
+  archive(m.m_route, m.m_target, m.m_others);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, RolloutCounts& m) {  // NOLINT
+  archive(m.m_service, m.m_order, m.m_step, m.m_requests, m.m_target_requests,
+          m.m_others_in_flight, m.m_routes);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, RolloutReport& m) {  // NOLINT
+  archive(m.m_address, m.m_incarnation, m.m_sequence, m.m_counts);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, RolloutNotice& m) {  // NOLINT
+  archive(m.m_epoch, m.m_records);
+}
+
 namespace {
 
 constexpr uint8_t kReportTag = 1;
@@ -123,6 +174,8 @@
 constexpr uint8_t kRelayedRowsTag = 7;
 constexpr uint8_t kLeaderAnnouncementTag = 4;
 constexpr uint8_t kLeavingServersTag = 5;
+constexpr uint8_t kRolloutReportTag = 8;
+constexpr uint8_t kRolloutNoticeTag = 9;
 
 // An encoded record or message ends with a hash of all bytes before it.
 constexpr size_t kHashBytes = sizeof(uint64_t);
@@ -171,6 +224,10 @@
   return Encode(Pack(record));
 }
 
+std::string EncodeRecord(const RolloutRecord& record) {
+  return Encode(record);
+}
+
 std::string EncodeMessage(const ClusterMessage& message) {
   if (const auto* report = std::get_if<MemberReport>(&message)) {
     return Encode(kReportTag, *report);
@@ -184,6 +241,12 @@
   if (const auto* leaving = std::get_if<LeavingServersNotice>(&message)) {
     return Encode(kLeavingServersTag, *leaving);
   }
+  if (const auto* report = std::get_if<RolloutReport>(&message)) {
+    return Encode(kRolloutReportTag, *report);
+  }
+  if (const auto* notice = std::get_if<RolloutNotice>(&message)) {
+    return Encode(kRolloutNoticeTag, *notice);
+  }
   return Encode(kReportResponseTag, std::get<ReportResponse>(message));
 }
 
@@ -199,6 +262,15 @@
   return Unpack(Decode<PackedOwners>(bytes));
 }
 
+RolloutRecord DecodeRolloutRecord(const std::string& bytes) {
+  RolloutRecord record = Decode<RolloutRecord>(bytes);
+  if (record.m_state > RolloutState::kRolledBack ||
+      !(record.m_share >= 0 && record.m_share <= 1)) {
+    throw Error(ErrorCode::kMessageMalformed, "rollout");
+  }
+  return record;
+}
+
 ClusterMessage DecodeClusterMessage(const std::string& bytes) {
   ClusterMessage message;
   DecodeWith(bytes, [&message](auto& archive) {
@@ -214,6 +286,10 @@
       archive(message.emplace<LeaderAnnouncement>());
     } else if (tag == kLeavingServersTag) {
       archive(message.emplace<LeavingServersNotice>());
+    } else if (tag == kRolloutReportTag) {
+      archive(message.emplace<RolloutReport>());
+    } else if (tag == kRolloutNoticeTag) {
+      archive(message.emplace<RolloutNotice>());
     } else {
       throw Error(ErrorCode::kMessageMalformed, "unknown kind");
     }
--- a/src/gateway/cluster_codec.h
+++ b/src/gateway/cluster_codec.h
@@ -5,6 +5,7 @@
 
 #include "gateway/cluster_records.h"
 #include "gateway/relayed_rows.h"
+#include "gateway/rollout_records.h"
 
 namespace foxtail {
 
@@ -13,17 +14,21 @@
                                     ReportResponse,
                                     RelayedRows,
                                     LeaderAnnouncement,
-                                    LeavingServersNotice>;
+                                    LeavingServersNotice,
+                                    RolloutReport,
+                                    RolloutNotice>;
 
 /// Encode and decode records and messages in a compact binary format with a
 /// checksum. The decoders throw `Error(kMessageMalformed)`.
 std::string EncodeRecord(const MemberRecord& record);
 std::string EncodeRecord(const LeaderLeaseRecord& record);
 std::string EncodeRecord(const OwnersRecord& record);
+std::string EncodeRecord(const RolloutRecord& record);
 std::string EncodeMessage(const ClusterMessage& message);
 MemberRecord DecodeMemberRecord(const std::string& bytes);
 LeaderLeaseRecord DecodeLeaderLeaseRecord(const std::string& bytes);
 OwnersRecord DecodeOwnersRecord(const std::string& bytes);
+RolloutRecord DecodeRolloutRecord(const std::string& bytes);
 ClusterMessage DecodeClusterMessage(const std::string& bytes);
 
 }  // namespace foxtail
--- a/src/gateway/cluster_records.h
+++ b/src/gateway/cluster_records.h
@@ -22,6 +22,7 @@
 /// Key prefixes in the cluster table.
 inline constexpr const char* kMemberPrefix = "member/";
 inline constexpr const char* kOwnersPrefix = "owners/";
+inline constexpr const char* kRolloutRecordPrefix = "rollout/";
 
 /// Row member/ADDRESS: a gateway process.
 struct MemberRecord {
--- a/src/gateway/control_thread.cc
+++ b/src/gateway/control_thread.cc
@@ -12,6 +12,7 @@
 #include "gateway/owners_system.h"
 #include "gateway/range_grant_system.h"
 #include "gateway/relay_system.h"
+#include "gateway/rollout_system.h"
 #include "runtime/fiber_scheduler.h"
 #include "runtime/fiber_wait.h"
 
@@ -63,6 +64,7 @@
                              ControlListener& listener,
                              EventLog& events)
     : m_settings(settings),
+      m_decoder(decoder),
       m_directory(decoder),
       m_factories(std::move(factories)),
       m_listener(listener),
@@ -108,6 +110,16 @@
   });
 }
 
+void ControlThread::ReportRollouts(std::vector<RolloutCounts> counts) {
+  if (counts.empty()) {
+    return;
+  }
+  m_mailbox.Post([this, counts = std::move(counts)]() mutable {
+    RolloutSystem::SendReport(m_tables, std::move(counts), ReadClocks());
+    Flush();
+  });
+}
+
 void ControlThread::Run() {
   InstallFiberScheduler();
   m_store = m_factories.m_make_store();
@@ -387,6 +399,17 @@
   Wake();
 }
 
+void ControlThread::Receive(const RolloutReport& report, const Now& now) {
+  if (auto notice = RolloutSystem::OnReport(m_tables, report, now)) {
+    Execute(SendDatagramCommand{{report.m_address}, std::move(*notice)});
+  }
+}
+
+void ControlThread::Receive(const RolloutNotice& notice, const Now&) {
+  RolloutSystem::OnNotice(m_tables, notice);
+  Flush();
+}
+
 void ControlThread::Receive(RelayedRows& relayed, const Now& now) {
   if (const auto forward = RelaySystem::TakeForward(m_tables, relayed)) {
     Execute(*forward);
@@ -447,11 +470,21 @@
     OwnersSystem::OnWritten(
         m_tables, write.m_key.substr(std::string_view(kOwnersPrefix).size()),
         result, now);
+  } else if (write.m_key.starts_with(kRolloutRecordPrefix)) {
+    RolloutSystem::OnRecordWritten(m_tables, write, result, now);
   } else {
     MemberSystem::OnMemberWritten(m_tables, write, result, now);
   }
 }
 
+void ControlThread::Execute(const WriteRolloutStatusCommand& command) {
+  RowWrite write = m_decoder.EncodeRolloutStatus(command.m_record);
+  write.m_expected_version = command.m_expected_version;
+  const WriteResult result =
+      m_store->Write(write, m_settings.m_ownership.m_store_timeout);
+  RolloutSystem::OnStatusWritten(m_tables, command, result, ReadClocks());
+}
+
 void ControlThread::Execute(const SendDatagramCommand& command) {
   const std::string bytes = EncodeMessage(command.m_message);
   for (const std::string& address : command.m_addresses) {
--- a/src/gateway/control_thread.h
+++ b/src/gateway/control_thread.h
@@ -66,6 +66,10 @@
   /// called on any thread.
   void Report(MemberReport report);
 
+  /// Queues what a traffic thread has seen of the running rollouts for the
+  /// leader. May be called on any thread.
+  void ReportRollouts(std::vector<RolloutCounts> counts);
+
   /// Tells the leader which servers are leaving. May be called on any thread.
   void ReportLeavingServers(std::vector<LeavingServer> servers);
 
@@ -104,6 +108,8 @@
   void Receive(const LeaderAnnouncement& announcement, const Now& now);
   void Receive(RelayedRows& relayed, const Now& now);
   void Receive(const LeavingServersNotice& notice, const Now& now);
+  void Receive(const RolloutReport& report, const Now& now);
+  void Receive(const RolloutNotice& notice, const Now& now);
   void ProbeLoop();
   void Probe(WatchedTable& table);
   void RestartWatches();
@@ -120,10 +126,12 @@
   void Execute(const ReleaseCommand& command);
   void Execute(const ReadRowCommand& command);
   void Execute(const WriteRowCommand& command);
+  void Execute(const WriteRolloutStatusCommand& command);
   void Execute(const SendDatagramCommand& command);
   void Wake();
 
   GatewaySettings m_settings;
+  const DirectoryDecoder& m_decoder;
   DirectorySystem m_directory;
   std::vector<WatchedTable> m_watched;
   ControlClientFactories m_factories;
--- a/src/gateway/directory_system.cc
+++ b/src/gateway/directory_system.cc
@@ -7,6 +7,7 @@
 
 #include "core/error.h"
 #include "gateway/cold_start_limit.h"
+#include "gateway/rollout_system.h"
 #include "runtime/address.h"
 
 namespace foxtail {
@@ -256,6 +257,26 @@
   }
 }
 
+// An order that cannot be read leaves the one before in force.
+void DirectorySystem::ApplyRollout(GatewayTables& tables,
+                                   const std::string& service,
+                                   const StoredRow& row,
+                                   bool complete,
+                                   const Now& now) const {
+  std::optional<RolloutOrder> order;
+  try {
+    if (!row.m_removed) {
+      order = m_decoder.DecodeRollout(service, row.m_value);
+      order->m_number = row.m_version;
+    }
+  } catch (const Error& failure) {
+    LogUnreadableRow(tables, m_decoder.OperatorTable(), row.m_key,
+                     failure.GetDetail());
+    return;
+  }
+  RolloutSystem::ApplyOrder(tables, service, std::move(order), !complete, now);
+}
+
 void DirectorySystem::ApplyOperatorRows(GatewayTables& tables,
                                         const std::vector<StoredRow>& rows,
                                         bool complete,
@@ -266,22 +287,41 @@
   }
   const auto routes_before = tables.m_routes;
   for (const StoredRow& row : rows) {
-    std::string data_centre;
-    switch (m_decoder.ClassifyRow(row.m_key, data_centre)) {
+    std::string subject;
+    switch (m_decoder.ClassifyRow(row.m_key, subject)) {
       case OperatorRowKind::kConfiguration:
         ApplyConfiguration(tables, row);
         break;
       case OperatorRowKind::kEvacuation:
         if (row.m_removed) {
-          evacuated.erase(data_centre);
+          evacuated.erase(subject);
         } else {
-          evacuated.insert(data_centre);
+          evacuated.insert(subject);
         }
         break;
+      case OperatorRowKind::kRollout:
+        ApplyRollout(tables, subject, row, complete, now);
+        break;
       case OperatorRowKind::kOther:
         break;
     }
   }
+  if (complete) {
+    tables.m_rollouts.ForEach([&](RolloutId, const RolloutRow& rollout) {
+      const bool is_listed =
+          std::ranges::any_of(rows, [&](const StoredRow& row) {
+            std::string subject;
+            return !row.m_removed &&
+                   m_decoder.ClassifyRow(row.m_key, subject) ==
+                       OperatorRowKind::kRollout &&
+                   subject == rollout.m_service;
+          });
+      if (!is_listed) {
+        RolloutSystem::ApplyOrder(tables, rollout.m_service, std::nullopt,
+                                  false, now);
+      }
+    });
+  }
   if (tables.m_routes != routes_before) {
     EndReplacedServers(tables, now);  // services may have been added
   }
@@ -379,12 +419,14 @@
 void DirectorySystem::ApplyClusterRows(GatewayTables& tables,
                                        const std::vector<StoredRow>& rows,
                                        bool complete,
-                                       const Now&) const {
+                                       const Now& now) const {
   for (const StoredRow& row : rows) {
     if (row.m_key.starts_with(kMemberPrefix)) {
       ApplyMember(tables, row);
     } else if (row.m_key.starts_with(kOwnersPrefix)) {
       ApplyOwners(tables, row);
+    } else if (row.m_key.starts_with(kRolloutRecordPrefix)) {
+      RolloutSystem::ApplyRecord(tables, row, now);
     }
   }
   if (complete) {
--- a/src/gateway/directory_system.h
+++ b/src/gateway/directory_system.h
@@ -34,6 +34,12 @@
  private:
   void ApplyConfiguration(GatewayTables& tables, const StoredRow& row) const;
 
+  void ApplyRollout(GatewayTables& tables,
+                    const std::string& service,
+                    const StoredRow& row,
+                    bool complete,
+                    const Now& now) const;
+
   /// Returns whether the row shows a server that was not registered before or
   /// that has started again.
   bool ApplyServer(GatewayTables& tables,
--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -17,6 +17,7 @@
 #include "gateway/cluster_codec.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/member_contact.h"
+#include "gateway/rollout_row.h"
 #include "gateway/server_control.h"
 #include "gateway/slice_weights.h"
 #include "gateway/speed_estimate.h"
@@ -38,6 +39,7 @@
 using RangeId = TypedId<RangeRow>;
 using ConfirmedMoveId = TypedId<ConfirmedMoveRow>;
 using FailedCallsId = TypedId<FailedCallsRow>;
+using RolloutId = TypedId<RolloutRow>;
 
 /// A gateway process registered in the cluster table.
 struct MemberRow {
@@ -345,6 +347,12 @@
   RowWrite m_write;
 };
 
+/// Writes the row that tells operators of a rollout's state.
+struct WriteRolloutStatusCommand {
+  RolloutRecord m_record;
+  uint64_t m_expected_version = 0;
+};
+
 /// Sends a datagram to other gateways.
 struct SendDatagramCommand {
   std::vector<std::string> m_addresses;
@@ -356,6 +364,7 @@
                                     ReleaseCommand,
                                     ReadRowCommand,
                                     WriteRowCommand,
+                                    WriteRolloutStatusCommand,
                                     SendDatagramCommand>;
 
 /// An event waiting to be logged.
@@ -401,6 +410,14 @@
   Table<RangeRow> m_ranges;
   Table<ConfirmedMoveRow> m_confirmed_moves;
   Table<FailedCallsRow> m_failed_calls;
+
+  /// Services that have an order or a record of a rollout.
+  Table<RolloutRow> m_rollouts;
+  uint64_t m_rollout_report_sequence = 0;
+
+  /// No leader has been heard lately, so nothing is sent to versions that are
+  /// being tried.
+  bool m_rollouts_paused = false;
   std::map<std::string, ServerId> m_servers_by_id;
 
   /// Stored owners record of each service, for routing.
--- a/src/gateway/gateway_tick.cc
+++ b/src/gateway/gateway_tick.cc
@@ -7,6 +7,7 @@
 #include "gateway/owners_system.h"
 #include "gateway/range_grant_system.h"
 #include "gateway/range_placement_system.h"
+#include "gateway/rollout_system.h"
 
 namespace foxtail {
 
@@ -25,15 +26,17 @@
   DirectorySystem::Run(tables, now);
   // 2. Acquire, renew or release the leader lease.
   LeadershipSystem::Run(tables, now);
-  // 3. At the leader: decide which server owns which keys.
+  // 3. At the leader: move traffic to ordered versions, or back.
+  RolloutSystem::Run(tables, now);
+  // 4. At the leader: decide which server owns which keys.
   RangePlacementSystem::Run(tables, now);
-  // 4. At the leader: read the owners and record their changes in the store.
+  // 5. At the leader: read the owners and record their changes in the store.
   OwnersSystem::Run(tables, now);
-  // 5. At the leader: release and grant recorded ranges, renew grants.
+  // 6. At the leader: release and grant recorded ranges, renew grants.
   RangeGrantSystem::Run(tables, now);
-  // 6. Keep this process registered; at the leader, deregister silent members.
+  // 7. Keep this process registered; at the leader, deregister silent members.
   MemberSystem::Run(tables, now);
-  // 7. Log what became of moves and calls to servers.
+  // 8. Log what became of moves and calls to servers.
   GrantLogSystem::Run(tables, now);
 }
 
--- a/src/gateway/gateway_traffic_thread.cc
+++ b/src/gateway/gateway_traffic_thread.cc
@@ -191,6 +191,9 @@
     }
     m_report_schedule.OnReport(now);
     m_control->Report(m_handler->CollectReport(now, with_loads));
+    if (with_loads) {
+      m_control->ReportRollouts(m_handler->CollectRolloutCounts());
+    }
   }
 }
 
--- a/src/gateway/range_placement_system.cc
+++ b/src/gateway/range_placement_system.cc
@@ -8,6 +8,7 @@
 
 #include "gateway/grant_log_system.h"
 #include "gateway/range_planner.h"
+#include "gateway/rollout_system.h"
 
 namespace foxtail {
 namespace {
@@ -77,7 +78,7 @@
   for (const auto& [id, server_id] : tables.m_servers_by_id) {
     const ServerRow& server = tables.m_servers.Get(server_id);
     if (server.m_entry.m_service != service || !IsEligible(server) ||
-        server.m_consecutive_failures > 0) {
+        server.m_consecutive_failures > 0 || !MayOwnKeys(tables, server)) {
       continue;
     }
     const double seconds =
@@ -227,6 +228,65 @@
   tables.m_ranges.Insert(std::move(row));
 }
 
+// Plans the keys of a service while two versions share them. Ranges without an
+// owner go to the servers that were there before, which are known to work; then
+// keys move between the groups until the target version has its share.
+void PlaceDuringRollout(GatewayTables& tables,
+                        ServiceId id,
+                        const RoutedRollout& rollout,
+                        const ServiceRanges& ranges,
+                        const std::vector<PlannedServer>& servers,
+                        const Now& now) {
+  static const ResponseTimeTargets targets;
+  static const FillPlanner fill;
+  static const RebalancePlanner rebalance;
+  ServiceRow& service = tables.m_services.Get(id);
+  std::vector<PlannedServer> target_group;
+  std::vector<PlannedServer> others;
+  std::set<std::string> target_ids;
+  for (const PlannedServer& server : servers) {
+    const ServerRow* row = FindServer(tables, server.m_id);
+    const bool is_target = rollout.GroupOf(row->m_entry.m_software_version) ==
+                           VersionGroup::kTarget;
+    (is_target ? target_group : others).push_back(server);
+    if (is_target) {
+      target_ids.insert(server.m_id);
+    }
+  }
+  if (others.empty()) {
+    return;
+  }
+  const double demand = TotalDemand(service);
+  const SliceWeights weights = BuildWeights(service, demand);
+  targets.SetTargets(others, demand * (1 - rollout.m_share));
+  std::vector<PlannedRange> plan = ranges.m_planned;
+  if (ranges.m_needs_owner) {
+    plan = fill.Plan(plan, others, weights);
+  } else if (!target_group.empty()) {
+    targets.SetTargets(target_group, demand * rollout.m_share);
+    for (PlannedServer& server : others) {
+      server.m_target *= 1 - rollout.m_share;
+    }
+    for (PlannedServer& server : target_group) {
+      server.m_target *= rollout.m_share;
+    }
+    std::vector<PlannedServer> all = others;
+    all.insert(all.end(), target_group.begin(), target_group.end());
+    plan = ShiftPlanner(std::move(target_ids), rollout.m_share)
+               .Plan(plan, all, weights);
+    if (plan == ranges.m_planned &&
+        now.m_steady >= service.m_next_rebalance_at) {
+      service.m_next_rebalance_at =
+          now.m_steady + tables.m_settings.m_rebalance_interval;
+      plan = rebalance.Plan(rebalance.Plan(plan, others, weights), target_group,
+                            weights);
+    }
+  }
+  if (plan != ranges.m_planned) {
+    ApplyPlan(tables, id, ranges, plan, now);
+  }
+}
+
 // Most ticks follow the result of a server call and change no owner. Targets
 // and weights are therefore computed only when a range has no owner, a server
 // has no range or rebalancing is due.
@@ -252,6 +312,11 @@
   if (ranges.m_has_move && !ranges.m_needs_owner) {
     return;
   }
+  const auto rollout = FindRollout(tables, service.m_name);
+  if (rollout && rollout->m_share > 0 && rollout->m_share < 1) {
+    PlaceDuringRollout(tables, id, *rollout, ranges, servers, now);
+    return;
+  }
   const bool rebalance_due = now.m_steady >= service.m_next_rebalance_at;
   if (!rebalance_due && !ranges.m_needs_owner &&
       !HasServerWithoutKeys(ranges, servers)) {
@@ -283,7 +348,8 @@
                  const std::string& server_id,
                  const Now& now) {
   const ServerRow* server = FindServer(tables, server_id);
-  if (!server || !IsEligible(*server) || server->m_ended) {
+  if (!server || !IsEligible(*server) || server->m_ended ||
+      !MayOwnKeys(tables, *server)) {
     return false;
   }
   return server->m_consecutive_failures == 0 ||
--- a/src/gateway/range_planner.cc
+++ b/src/gateway/range_planner.cc
@@ -1,6 +1,7 @@
 #include "gateway/range_planner.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 
 namespace foxtail {
@@ -30,6 +31,18 @@
 // are recorded in the store together.
 constexpr uint32_t kMaxMovesPerPlan = 8;
 
+// A shift moves more in a plan: its steps must end within seconds.
+constexpr uint32_t kMaxShiftMoves = 24;
+
+// Fraction by which the shifted share may differ from what was asked for, since
+// slices are not split.
+constexpr double kShiftTolerance = 0.1;
+
+// Smallest piece that is shifted if the receivers' targets are smaller, as a
+// fraction of an equal share: a small share goes to one or two servers and not
+// to all of them.
+constexpr double kMinShiftFraction = 0.3;
+
 // Target and load are shares of the service's requests, as in PlannedServer.
 struct ServerLoad {
   double m_target = 0;
@@ -342,4 +355,48 @@
   return ranges;
 }
 
+std::vector<PlannedRange> ShiftPlanner::Plan(
+    std::vector<PlannedRange> ranges,
+    const std::vector<PlannedServer>& servers,
+    const SliceWeights& weights) const {
+  ServerLoads group;
+  ServerLoads others;
+  for (auto& [id, load] : SumLoads(ranges, servers, weights)) {
+    (m_group.contains(id) ? group : others)[id] = load;
+  }
+  if (group.empty() || others.empty()) {
+    return ranges;
+  }
+  ServerLoads loads = group;
+  loads.insert(others.begin(), others.end());
+  for (uint32_t move = 0; move < kMaxShiftMoves; ++move) {
+    double shifted = 0;
+    for (const auto& [id, load] : group) {
+      shifted += loads.at(id).m_load;
+    }
+    const double missing = m_share - shifted;
+    if (std::abs(missing) <= kShiftTolerance * m_share) {
+      break;
+    }
+    const auto headroom = [&loads](const auto& entry) {
+      return loads.at(entry.first).Headroom();
+    };
+    const auto& donors = missing > 0 ? others : group;
+    const auto& receivers = missing > 0 ? group : others;
+    const std::string donor =
+        std::ranges::min_element(donors, {}, headroom)->first;
+    const std::string receiver =
+        std::ranges::max_element(receivers, {}, headroom)->first;
+    const double limit = std::min(
+        std::abs(missing),
+        std::max(loads.at(receiver).Headroom(),
+                 kMinShiftFraction / static_cast<double>(loads.size())));
+    if (MovePiece(ranges, loads, donor, receiver, limit, weights) <= 0) {
+      break;
+    }
+  }
+  SortByKey(ranges);
+  return ranges;
+}
+
 }  // namespace foxtail
--- a/src/gateway/range_planner.h
+++ b/src/gateway/range_planner.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "gateway/load_targets.h"
@@ -51,4 +53,22 @@
                                  const SliceWeights& weights) const override;
 };
 
+/// Suited to a rollout that gives a new version a share of the keys. Moves
+/// pieces between the servers of a group and the others until the group has the
+/// share.
+class ShiftPlanner : public RangePlanner {
+ public:
+  /// `group` holds the ids of the servers whose load is to be `share`.
+  ShiftPlanner(std::set<std::string> group, double share)
+      : m_group(std::move(group)), m_share(share) {}
+
+  std::vector<PlannedRange> Plan(std::vector<PlannedRange> ranges,
+                                 const std::vector<PlannedServer>& servers,
+                                 const SliceWeights& weights) const override;
+
+ private:
+  std::set<std::string> m_group;
+  double m_share = 0;
+};
+
 }  // namespace foxtail
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -103,6 +103,14 @@
   /// Number of cold servers whose rate did not admit the request.
   uint32_t m_cold_refusals = 0;
 
+  /// Order of a rollout by which the request was assigned to a group of
+  /// servers, and the group.
+  uint64_t m_rollout_order = 0;
+  std::optional<VersionGroup> m_version_group;
+
+  /// Counts the last attempt as on its way until the response is complete.
+  std::shared_ptr<void> m_in_flight;
+
   /// Backend server of the last attempt, for logs.
   std::string m_last_server;
 
@@ -141,6 +149,19 @@
   kOutcomeUnknown,
 };
 
+// What an attempt tells of the version of the server.
+AttemptResult RequestHandler::ResultOf(AttemptOutcome outcome) {
+  switch (outcome) {
+    case AttemptOutcome::kResponded:
+      return AttemptResult::kGood;
+    case AttemptOutcome::kServerError:
+    case AttemptOutcome::kOutcomeUnknown:
+      return AttemptResult::kFailed;
+    default:
+      return AttemptResult::kNoEvidence;
+  }
+}
+
 RequestHandler::RequestHandler(const GatewaySettings& settings,
                                const FrontEnd& front_end,
                                const AccessFreshness& freshness,
@@ -157,6 +178,8 @@
 void RequestHandler::OnSnapshot(
     std::shared_ptr<const RoutingSnapshot> snapshot) {
   m_snapshot = std::move(snapshot);
+  m_rollout_splitter.Expire(*m_snapshot);
+  m_rollout_meter.OnSnapshot(*m_snapshot);
   m_snapshot_changed.Notify();
   for (auto& [ticket, event] : m_queued_events) {
     event->Notify();
@@ -228,7 +251,8 @@
   if (response.m_body_stream) {
     response.m_body_stream = std::make_shared<TrackedBodyStream>(
         std::move(response.m_body_stream),
-        [this, entry = BuildLogEntry(context)](const Error& failure) {
+        [this, entry = BuildLogEntry(context),
+         in_flight = context.m_in_flight](const Error& failure) {
           LogFailure(entry, Error(ErrorCode::kServerLost, Execution::kUnknown,
                                   failure.GetDetail()));
         });
@@ -373,17 +397,43 @@
     return FindOwner(context);
   }
   const TimePoint now = Clock::now();
+  const VersionChoice versions = ChooseVersion(context, *endpoints);
   const RoutedServer* server =
       ChooseServer(*endpoints, m_settings.m_data_centre,
-                   context.m_tried_servers, m_send_system, now);
+                   context.m_tried_servers, m_send_system, now, versions);
   if (!server && !context.m_tried_servers.empty()) {
     context.m_tried_servers.clear();
-    server = ChooseServer(*endpoints, m_settings.m_data_centre,
-                          context.m_tried_servers, m_send_system, now);
+    server =
+        ChooseServer(*endpoints, m_settings.m_data_centre,
+                     context.m_tried_servers, m_send_system, now, versions);
   }
   return server;
 }
 
+// While a rollout is in force, each request is assigned to one group of
+// servers. A retry goes to the others for as long as they may be used: what
+// failed at the new version may succeed there, and retries don't add to its
+// share.
+VersionChoice RequestHandler::ChooseVersion(RequestContext& context,
+                                            const ServiceEndpoints& endpoints) {
+  if (!endpoints.m_rollout) {
+    return {};
+  }
+  const RoutedRollout& rollout = *endpoints.m_rollout;
+  const bool is_assigned =
+      context.m_version_group && context.m_rollout_order == rollout.m_order;
+  const bool is_split =
+      rollout.m_share > 0 && rollout.m_share < 1 && !rollout.m_paused;
+  if (is_split && context.m_attempts > 0) {
+    context.m_version_group = VersionGroup::kOthers;
+  } else if (!is_split || !is_assigned) {
+    context.m_version_group = m_rollout_splitter.Choose(
+        context.m_service, rollout, context.m_snapshot->m_position);
+  }
+  context.m_rollout_order = rollout.m_order;
+  return {endpoints, context.m_version_group};
+}
+
 // Returns when the first of the servers that are asking for a pause takes the
 // request, or nothing if none is.
 std::optional<TimePoint> RequestHandler::FindPauseEndOfTargets(
@@ -393,7 +443,8 @@
   if (!endpoints || context.m_sharded) {
     return std::nullopt;
   }
-  return FindPauseEnd(*endpoints, m_send_system, Clock::now());
+  return FindPauseEnd(*endpoints, m_send_system, Clock::now(),
+                      {*endpoints, context.m_version_group});
 }
 
 // Refuses a request that no server takes before its deadline.
@@ -417,7 +468,8 @@
   const auto server = endpoints->m_servers.find(range->m_server);
   const TimePoint now = Clock::now();
   if (server == endpoints->m_servers.end() ||
-      now >= server->second.m_send_until) {
+      now >= server->second.m_send_until ||
+      !VersionChoice(*endpoints, std::nullopt).Allows(server->second)) {
     return nullptr;
   }
   // The server is asked on while its keys move, then no more.
@@ -529,6 +581,8 @@
   const SendServerId id = m_send_system.GetOrInsert(server, started_at);
   m_send_system.OnSent(id);
   WakeQueueHead(id);
+  context.m_in_flight =
+      m_rollout_meter.OnSent(context.m_service, server, context.m_attempts > 0);
   ++context.m_attempts;
   context.m_last_server = server.m_id;
   context.m_tried_servers.insert(server.m_id);
@@ -548,6 +602,11 @@
                         context.m_deadline + kResponseMargin, options);
   const AttemptOutcome outcome = ClassifyExchange(
       context, server, started_at, result, server_response, response);
+  m_rollout_meter.OnEnded(
+      context.m_service, context.m_route->m_name, server,
+      context.ClientDisconnected() ? AttemptResult::kNoEvidence
+                                   : ResultOf(outcome),
+      started_at < server.m_cold_until, Clock::now() - started_at);
   WakeQueueHead(id);
   return outcome;
 }
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -13,6 +13,8 @@
 #include "gateway/front_end.h"
 #include "gateway/rate_limiter.h"
 #include "gateway/request_log.h"
+#include "gateway/rollout_meter.h"
+#include "gateway/rollout_splitter.h"
 #include "gateway/routing_snapshot.h"
 #include "gateway/send_system.h"
 #include "gateway/traffic_splitter.h"
@@ -53,6 +55,11 @@
   /// last such report if `with_loads`, and resets them.
   MemberReport CollectReport(TimePoint now, bool with_loads);
 
+  /// Returns what this host has seen of the running rollouts.
+  std::vector<RolloutCounts> CollectRolloutCounts() const {
+    return m_rollout_meter.Collect();
+  }
+
   /// Logs and counts how requests for admission ended since the last call.
   void LogAdmissions();
 
@@ -90,6 +97,8 @@
                                RequestContext& context);
   const RoutedServer* FindTarget(RequestContext& context);
   const RoutedServer* FindOwner(RequestContext& context);
+  VersionChoice ChooseVersion(RequestContext& context,
+                              const ServiceEndpoints& endpoints);
   std::optional<TimePoint> FindPauseEndOfTargets(const RequestContext& context);
   void RefuseDuringPause(RequestContext& context, TimePoint pause_end);
   void WaitForTarget(RequestContext& context);
@@ -105,6 +114,7 @@
                                   ExchangeResult& result,
                                   const ServerResponse& server_response,
                                   HttpResponse& response);
+  static AttemptResult ResultOf(AttemptOutcome outcome);
   bool CanRetry(RequestContext& context, AttemptOutcome outcome);
   void ThrowFailure(const RequestContext& context,
                     ErrorCode not_run,
@@ -126,6 +136,8 @@
   SendSystem m_send_system;
   RateLimiter m_rate_limiter;
   TrafficSplitter m_splitter;
+  RolloutSplitter m_rollout_splitter;
+  RolloutMeter m_rollout_meter;
   std::shared_ptr<const RoutingSnapshot> m_snapshot;
   std::map<std::string, RetryBudget> m_retry_budgets;
 
--- a/src/gateway/routing_snapshot.cc
+++ b/src/gateway/routing_snapshot.cc
@@ -12,6 +12,7 @@
   routed.m_incarnation = entry.m_incarnation;
   routed.m_address = ParseAddress(entry.m_address);
   routed.m_data_centre = entry.m_data_centre;
+  routed.m_software_version = entry.m_software_version;
   routed.m_slots = entry.m_slots;
   routed.m_cold_until = server.m_cold_until;
   routed.m_eligible = IsEligible(server);
@@ -80,6 +81,14 @@
   for (const auto& [service, record] : tables.m_owners) {
     snapshot->m_endpoints[service].m_ranges = BuildRanges(record);
   }
+  tables.m_rollouts.ForEach([&](RolloutId, const RolloutRow& rollout) {
+    auto& routed = snapshot->m_endpoints[rollout.m_service].m_rollout;
+    routed = BuildRoutedRollout(rollout);
+    if (routed) {
+      routed->m_paused = tables.m_rollouts_paused && rollout.m_record &&
+                         rollout.m_record->m_state == RolloutState::kRunning;
+    }
+  });
   snapshot->m_position = FindPosition(tables);
   snapshot->m_member_count = std::max<size_t>(1, tables.m_members.size());
   return snapshot;
--- a/src/gateway/routing_snapshot.h
+++ b/src/gateway/routing_snapshot.h
@@ -2,11 +2,13 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "gateway/equal_share_limiter.h"
 #include "gateway/gateway_tables.h"
+#include "gateway/routed_rollout.h"
 #include "runtime/address.h"
 
 namespace foxtail {
@@ -22,6 +24,7 @@
   int64_t m_incarnation = 0;
   Address m_address;
   std::string m_data_centre;
+  std::string m_software_version;
   uint32_t m_slots = 1;
   TimePoint m_cold_until;
 
@@ -46,6 +49,9 @@
   /// Ordered by key; empty for services without shard keys.
   std::vector<RoutedRange> m_ranges;
 
+  /// Rollout in force; if there is none, all servers may be used.
+  std::optional<RoutedRollout> m_rollout;
+
   /// Returns the range that contains a key, or null.
   const RoutedRange* FindRange(uint32_t key) const;
 };
--- a/src/gateway/send_system.cc
+++ b/src/gateway/send_system.cc
@@ -252,13 +252,14 @@
 
 std::optional<TimePoint> FindPauseEnd(const ServiceEndpoints& endpoints,
                                       SendSystem& system,
-                                      TimePoint now) {
+                                      TimePoint now,
+                                      const VersionChoice& versions) {
   std::optional<TimePoint> first;
   for (const auto& [id, server] : endpoints.m_servers) {
     const SendServerId row_id = system.GetOrInsert(server, now);
     const TimePoint end = system.PauseEnd(row_id);
-    if (server.m_eligible && !system.LeavingSince(row_id, server) &&
-        end > now) {
+    if (server.m_eligible && versions.Allows(server) &&
+        !system.LeavingSince(row_id, server) && end > now) {
       first = std::min(first.value_or(end), end);
     }
   }
@@ -269,11 +270,13 @@
                                  const std::string& data_centre,
                                  const std::set<std::string>& tried_servers,
                                  SendSystem& system,
-                                 TimePoint now) {
+                                 TimePoint now,
+                                 const VersionChoice& versions) {
   const RoutedServer* best = nullptr;
   double best_load = 0;
   for (const auto& [id, server] : endpoints.m_servers) {
-    if (!server.m_eligible || tried_servers.contains(id)) {
+    if (!server.m_eligible || tried_servers.contains(id) ||
+        !versions.Allows(server)) {
       continue;
     }
     const SendServerId row_id = system.GetOrInsert(server, now);
--- a/src/gateway/send_system.h
+++ b/src/gateway/send_system.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/table.h"
+#include "gateway/rollout_splitter.h"
 #include "gateway/routing_snapshot.h"
 #include "gateway/send_window.h"
 
@@ -155,16 +156,18 @@
 /// takes requests again, or nothing if there is none.
 std::optional<TimePoint> FindPauseEnd(const ServiceEndpoints& endpoints,
                                       SendSystem& system,
-                                      TimePoint now);
+                                      TimePoint now,
+                                      const VersionChoice& versions = {});
 
 /// Chooses the least loaded eligible server of a service without shard keys,
 /// with a preference for `data_centre`. Skips `tried_servers` and servers
-/// that are leaving or have asked for a pause. Returns null if no server is
-/// left.
+/// that are leaving, have asked for a pause or are not allowed by `versions`.
+/// Returns null if no server is left.
 const RoutedServer* ChooseServer(const ServiceEndpoints& endpoints,
                                  const std::string& data_centre,
                                  const std::set<std::string>& tried_servers,
                                  SendSystem& system,
-                                 TimePoint now);
+                                 TimePoint now,
+                                 const VersionChoice& versions = {});
 
 }  // namespace foxtail
--- a/tests/support/gateway_world.cc
+++ b/tests/support/gateway_world.cc
@@ -9,6 +9,7 @@
 #include "gateway/owners_system.h"
 #include "gateway/range_grant_system.h"
 #include "gateway/relay_system.h"
+#include "gateway/rollout_system.h"
 #include "gateway/routing_snapshot.h"
 
 namespace foxtail {
@@ -21,7 +22,9 @@
 constexpr milliseconds kStoreDelay{5};
 constexpr milliseconds kServerCallTimeout{700};
 constexpr uint32_t kKeysPerSample = kShardKeys / kSampledKeys;
-constexpr const char* kService = "catalogue";
+constexpr const char* kService = kShardedService;
+constexpr std::string_view kFakeRolloutPrefix = "rollout ";
+constexpr const char* kFakeStatusTable = "states";
 
 std::string ServerName(size_t server) {
   return "server-" + std::to_string(server);
@@ -33,13 +36,16 @@
 
 }  // namespace
 
-OperatorRowKind FakeDirectoryDecoder::ClassifyRow(
-    const std::string& key,
-    std::string& data_centre) const {
+OperatorRowKind FakeDirectoryDecoder::ClassifyRow(const std::string& key,
+                                                  std::string& subject) const {
   if (key == "config") {
     return OperatorRowKind::kConfiguration;
   }
-  data_centre = key;
+  if (key.starts_with(kFakeRolloutPrefix)) {
+    subject = key.substr(kFakeRolloutPrefix.size());
+    return OperatorRowKind::kRollout;
+  }
+  subject = key;
   return OperatorRowKind::kEvacuation;
 }
 
@@ -51,7 +57,8 @@
   workspace.m_name = kWorkspace;
   fields >> config.m_version >> workspace.m_rate;
   workspace.m_burst = workspace.m_rate;
-  config.m_services = {{kService, true, 100, kColdRate}};
+  config.m_services = {{kService, true, 100, kColdRate},
+                       {kUnshardedService, false, 100, 0}};
   config.m_workspaces = {workspace};
   return config;
 }
@@ -68,9 +75,33 @@
       entry.m_incarnation;
   std::string service;
   entry.m_service = fields >> service ? service : kService;
+  fields >> entry.m_software_version;
   return entry;
 }
 
+RolloutOrder FakeDirectoryDecoder::DecodeRollout(
+    const std::string& service,
+    const std::string& value) const {
+  std::istringstream fields(value);
+  RolloutOrder order;
+  order.m_service = service;
+  int64_t seconds = 0;
+  fields >> order.m_target >> seconds;
+  order.m_period = std::chrono::seconds(seconds);
+  return order;
+}
+
+RowWrite FakeDirectoryDecoder::EncodeRolloutStatus(
+    const RolloutRecord& record) const {
+  constexpr std::array kStates = {"running", "completed", "rolled_back"};
+  RowWrite write;
+  write.m_table = kFakeStatusTable;
+  write.m_key = record.m_service;
+  write.m_value = std::string(kStates.at(static_cast<size_t>(record.m_state))) +
+                  " " + record.m_target;
+  return write;
+}
+
 GatewayWorld::GatewayWorld(size_t hosts, size_t servers, uint32_t seed)
     : m_hosts(hosts), m_servers(servers), m_random(seed) {
   SetWorkspaceRate(0);
@@ -85,7 +116,9 @@
 }
 
 Now GatewayWorld::ReadNow() const {
-  return {m_now, WallTime(), BootTime(m_now.time_since_epoch())};
+  const auto wall =
+      std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch());
+  return {m_now, WallTime(wall), BootTime(m_now.time_since_epoch())};
 }
 
 void GatewayWorld::PutRow(const std::string& table,
@@ -99,7 +132,8 @@
   const FakeServer& fake = m_servers[server];
   std::ostringstream fields;
   fields << "10.1.0." << server + 1 << ":80 " << fake.m_data_centre << " "
-         << fake.m_draining << " " << fake.m_incarnation;
+         << fake.m_draining << " " << fake.m_incarnation << " "
+         << fake.m_service << " " << fake.m_software_version;
   PutRow(m_decoder.ServerTable(), fake.m_id, fields.str());
 }
 
@@ -125,12 +159,30 @@
   PutRow(m_decoder.OperatorTable(), "config", fields.str());
 }
 
+void GatewayWorld::OrderRollout(const std::string& service,
+                                const std::string& version,
+                                std::chrono::seconds period) {
+  PutRow(m_decoder.OperatorTable(), std::string(kFakeRolloutPrefix) + service,
+         version + " " + std::to_string(period.count()));
+}
+
+void GatewayWorld::RemoveRolloutOrder(const std::string& service) {
+  PutRow(m_decoder.OperatorTable(), std::string(kFakeRolloutPrefix) + service,
+         "", true);
+}
+
+std::string GatewayWorld::GetRolloutStatus(const std::string& service) const {
+  const auto row = m_rows.find({kFakeStatusTable, service});
+  return row == m_rows.end() ? "" : row->second.m_value;
+}
+
 void GatewayWorld::SetClientRate(size_t host, double rate) {
   m_hosts[host].m_clients->m_rate = rate;
 }
 
 void GatewayWorld::Kill(size_t host) {
   m_hosts[host].m_up = false;
+  m_traffic.OnHostLost(*m_hosts[host].m_rollout_host);
 }
 
 void GatewayWorld::Start(size_t host) {
@@ -148,6 +200,7 @@
   fake.m_clients =
       std::make_unique<FakeClients>(fake.m_tables.m_settings, m_requests);
   fake.m_clients->m_rate = client_rate;
+  fake.m_rollout_host = std::make_unique<FakeRolloutHost>();
 }
 
 void GatewayWorld::Run(Duration duration) {
@@ -169,6 +222,11 @@
       RunHost(host);
     }
   }
+  for (size_t host = 0; host < m_hosts.size(); ++host) {
+    if (m_hosts[host].m_up) {
+      RunRolloutTraffic(host);
+    }
+  }
   CountDoubleGrants();
 }
 
@@ -185,6 +243,14 @@
   }
 }
 
+void GatewayWorld::RunRolloutTraffic(size_t host) {
+  FakeHost& fake = m_hosts[host];
+  if (std::exchange(fake.m_tables.m_snapshot_due, false)) {
+    fake.m_rollout_host->OnSnapshot(BuildSnapshot(fake.m_tables));
+  }
+  m_traffic.Run(*fake.m_rollout_host, m_hosts.size(), kStep, m_now);
+}
+
 void GatewayWorld::RunClients(size_t host) {
   FakeHost& fake = m_hosts[host];
   for (const LeaderTokens& tokens :
@@ -218,6 +284,8 @@
       static_cast<uint32_t>(FindPosition(fake.m_tables).m_members);
   report.m_demands = fake.m_clients->m_admission.BuildDemands(m_now);
   MemberSystem::SendReport(fake.m_tables, std::move(report), ReadNow());
+  RolloutSystem::SendReport(fake.m_tables,
+                            fake.m_rollout_host->m_meter.Collect(), ReadNow());
 }
 
 bool GatewayWorld::ReachesStore(size_t host) const {
@@ -449,39 +517,62 @@
   });
 }
 
-void GatewayWorld::Execute(size_t host, const WriteRowCommand& command) {
+WriteResult GatewayWorld::ApplyWrite(size_t host, const RowWrite& write) {
   ++m_row_calls;
-  const RowWrite& write = command.m_write;
   WriteResult result;
-  if (ReachesStore(host)) {
-    const auto row = m_rows.find({write.m_table, write.m_key});
-    const bool missing = row == m_rows.end() || row->second.m_removed;
-    const uint64_t version = missing ? 0 : row->second.m_version;
-    result.m_outcome = version == write.m_expected_version
-                           ? StoreOutcome::kDone
-                           : StoreOutcome::kVersionMismatch;
-    if (result.m_outcome == StoreOutcome::kDone) {
-      PutRow(write.m_table, write.m_key, write.m_value.value_or(""),
-             !write.m_value);
-      result.m_version = m_version;
-    }
-    std::uniform_real_distribution<double> chance(0, 1);
-    if (chance(m_random) < m_lost_response_rate) {
-      result.m_outcome = StoreOutcome::kUnknown;
-    }
+  if (!ReachesStore(host)) {
+    return result;
+  }
+  const auto row = m_rows.find({write.m_table, write.m_key});
+  const bool missing = row == m_rows.end() || row->second.m_removed;
+  const uint64_t version = missing ? 0 : row->second.m_version;
+  result.m_outcome = version == write.m_expected_version
+                         ? StoreOutcome::kDone
+                         : StoreOutcome::kVersionMismatch;
+  result.m_version = version;
+  if (result.m_outcome == StoreOutcome::kDone) {
+    PutRow(write.m_table, write.m_key, write.m_value.value_or(""),
+           !write.m_value);
+    result.m_version = m_version;
+  }
+  std::uniform_real_distribution<double> chance(0, 1);
+  if (chance(m_random) < m_lost_response_rate) {
+    result.m_outcome = StoreOutcome::kUnknown;
   }
+  return result;
+}
+
+void GatewayWorld::Execute(size_t host, const WriteRowCommand& command) {
+  const RowWrite& write = command.m_write;
+  const WriteResult result = ApplyWrite(host, write);
   Schedule(host, kStoreDelay, [this, host, write, result] {
     GatewayTables& tables = m_hosts[host].m_tables;
     if (write.m_table == kLeaderLeaseTable) {
       LeadershipSystem::OnWritten(tables, result, ReadNow());
     } else if (write.m_key.starts_with(kOwnersPrefix)) {
       OwnersSystem::OnWritten(tables, kService, result, ReadNow());
+    } else if (write.m_key.starts_with(kRolloutRecordPrefix)) {
+      RolloutSystem::OnRecordWritten(tables, write, result, ReadNow());
     } else {
       MemberSystem::OnMemberWritten(tables, write, result, ReadNow());
     }
   });
 }
 
+void GatewayWorld::Execute(size_t host,
+                           const WriteRolloutStatusCommand& command) {
+  RowWrite write = m_decoder.EncodeRolloutStatus(command.m_record);
+  write.m_expected_version = command.m_expected_version;
+  const WriteResult result = ApplyWrite(host, write);
+  if (result.m_outcome == StoreOutcome::kDone) {
+    m_traffic.OnStatus(command.m_record.m_state, m_now);
+  }
+  Schedule(host, kStoreDelay, [this, host, command, result] {
+    RolloutSystem::OnStatusWritten(m_hosts[host].m_tables, command, result,
+                                   ReadNow());
+  });
+}
+
 void GatewayWorld::Execute(size_t host, const SendDatagramCommand& command) {
   std::uniform_real_distribution<double> chance(0, 1);
   for (size_t target = 0; target < m_hosts.size(); ++target) {
@@ -519,6 +610,12 @@
   } else if (const auto* leaving =
                  std::get_if<LeavingServersNotice>(&message)) {
     MemberSystem::OnLeavingServers(tables, *leaving, now);
+  } else if (const auto* counts = std::get_if<RolloutReport>(&message)) {
+    if (auto notice = RolloutSystem::OnReport(tables, *counts, now)) {
+      ExecuteCommand(host, SendDatagramCommand{{counts->m_address}, *notice});
+    }
+  } else if (const auto* notice = std::get_if<RolloutNotice>(&message)) {
+    RolloutSystem::OnNotice(tables, *notice);
   } else {
     const auto& response = std::get<ReportResponse>(message);
     LeadershipSystem::OnReportResponse(tables, response, now);
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -14,6 +14,7 @@
 #include "gateway/gateway_tables.h"
 #include "gateway/report_schedule.h"
 #include "support/fake_clients.h"
+#include "support/fake_rollout_traffic.h"
 
 namespace foxtail {
 
@@ -24,10 +25,13 @@
   std::string OperatorTable() const override { return "operators"; }
   std::string ServerTable() const override { return "servers"; }
   OperatorRowKind ClassifyRow(const std::string& key,
-                              std::string& data_centre) const override;
+                              std::string& subject) const override;
   RoutingConfig DecodeConfiguration(const std::string& value) const override;
   BackendServerEntry DecodeServer(const std::string& key,
                                   const std::string& value) const override;
+  RolloutOrder DecodeRollout(const std::string& service,
+                             const std::string& value) const override;
+  RowWrite EncodeRolloutStatus(const RolloutRecord& record) const override;
 };
 
 /// The workspace that the fakes' configuration contains.
@@ -36,6 +40,10 @@
 /// Requests a second that a cold server of the fakes' service takes.
 inline constexpr double kColdRate = 4.9;
 
+/// Services of the fakes' configuration, with and without shard keys.
+inline constexpr const char* kShardedService = "catalogue";
+inline constexpr const char* kUnshardedService = "ledger";
+
 /// Number of sampled keys, evenly spaced, for which the fakes track grants.
 inline constexpr uint32_t kSampledKeys = 64;
 
@@ -43,6 +51,8 @@
 struct FakeServer {
   std::string m_id;
   std::string m_data_centre;
+  std::string m_service = kShardedService;
+  std::string m_software_version;
   bool m_up = true;
   bool m_draining = false;
   int64_t m_incarnation = 1;
@@ -92,6 +102,9 @@
   /// Clients of workspace `kWorkspace`; new for each process.
   std::unique_ptr<FakeClients> m_clients;
   std::unique_ptr<ReportSchedule> m_report_schedule;
+
+  /// Request path of the host; new for each process.
+  std::unique_ptr<FakeRolloutHost> m_rollout_host;
 };
 
 /// Simulates several hosts, servers and the store on a simulated clock, in
@@ -124,6 +137,14 @@
   /// Sets the rate of the clients' requests at a host, per second.
   void SetClientRate(size_t host, double rate);
 
+  /// Writes an order of a rollout, or removes it, and returns what the gateways
+  /// report of it: "running VERSION", for example.
+  void OrderRollout(const std::string& service,
+                    const std::string& version,
+                    std::chrono::seconds period);
+  void RemoveRolloutOrder(const std::string& service);
+  std::string GetRolloutStatus(const std::string& service) const;
+
   /// Returns the index of the leader, or the number of hosts if there is none.
   size_t Leader() const;
 
@@ -138,6 +159,9 @@
   std::vector<FakeServer> m_servers;
   bool m_store_down = false;
 
+  /// Requests for a service with a rollout; none by default.
+  FakeRolloutTraffic m_traffic;
+
   /// Fraction of the writes that take effect but whose response is lost.
   double m_lost_response_rate = 0;
 
@@ -204,7 +228,10 @@
   void Send(size_t host, const ReleaseCommand& command);
   void Execute(size_t host, const ReadRowCommand& command);
   void Execute(size_t host, const WriteRowCommand& command);
+  void Execute(size_t host, const WriteRolloutStatusCommand& command);
   void Execute(size_t host, const SendDatagramCommand& command);
+  void RunRolloutTraffic(size_t host);
+  WriteResult ApplyWrite(size_t host, const RowWrite& write);
   void Receive(size_t host, const ClusterMessage& message);
   ServerCallOutcome FindOutcome(size_t host,
                                 size_t server,
