Rollouts: requests leave a target version that has no server for them

A request that the share assigned to the new version waited for a server of it and was then refused, also if none had registered yet or all of them were cold and over their rate, although the servers of other versions were free. Such a request now goes to the others. Sending it to the new version later was ruled out, since it would add to the share of another moment. A record that the store has lost is written again from the hosts' memory.

--- a/src/gateway/directory_system.cc
+++ b/src/gateway/directory_system.cc
@@ -435,6 +435,12 @@
         tables.m_members.Erase(id);
       }
     });
+    tables.m_rollouts.ForEach([&](RolloutId, RolloutRow& rollout) {
+      if (!HasKey(rows, kRolloutRecordPrefix + rollout.m_service)) {
+        rollout.m_record_version = 0;
+        rollout.m_record_stored = false;
+      }
+    });
     tables.m_self_registered =
         tables.m_self_registered &&
         HasKey(rows, kMemberPrefix + tables.m_self.m_address);
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -396,20 +396,35 @@
   if (context.m_sharded) {
     return FindOwner(context);
   }
-  const TimePoint now = Clock::now();
+  const auto choose = [&](const VersionChoice& versions) {
+    return ChooseServer(*endpoints, m_settings.m_data_centre,
+                        context.m_tried_servers, m_send_system, Clock::now(),
+                        versions);
+  };
   const VersionChoice versions = ChooseVersion(context, *endpoints);
-  const RoutedServer* server =
-      ChooseServer(*endpoints, m_settings.m_data_centre,
-                   context.m_tried_servers, m_send_system, now, versions);
+  const RoutedServer* server = choose(versions);
   if (!server && !context.m_tried_servers.empty()) {
     context.m_tried_servers.clear();
-    server =
-        ChooseServer(*endpoints, m_settings.m_data_centre,
-                     context.m_tried_servers, m_send_system, now, versions);
+    server = choose(versions);
+  }
+  if (!server && LeaveTargetVersion(context, *endpoints)) {
+    server = choose({*endpoints, context.m_version_group});
   }
   return server;
 }
 
+// Assigns a request of the target version to the others, whose servers take it
+// while no server of the target version does. Returns whether that is a change.
+bool RequestHandler::LeaveTargetVersion(RequestContext& context,
+                                        const ServiceEndpoints& endpoints) {
+  if (!endpoints.m_rollout || endpoints.m_rollout->m_share >= 1 ||
+      context.m_version_group != VersionGroup::kTarget) {
+    return false;
+  }
+  context.m_version_group = VersionGroup::kOthers;
+  return true;
+}
+
 // While a rollout is in force, each request is assigned to one group of
 // servers. A retry goes to the others for as long as they may be used: what
 // failed at the new version may succeed there, and retries don't add to its
@@ -549,6 +564,12 @@
   const RateDecision decision = m_rate_limiter.TryAcquire(
       limit, snapshot->m_position, context.m_deadline);
   if (decision == RateDecision::kRefused) {
+    const ServiceEndpoints* endpoints =
+        snapshot->FindEndpoints(context.m_service);
+    if (!context.m_sharded && endpoints &&
+        LeaveTargetVersion(context, *endpoints)) {
+      return false;  // the servers of a new version are all cold at first
+    }
     if (context.m_sharded || ++context.m_cold_refusals > kMaxColdRefusals) {
       ThrowFailure(context, ErrorCode::kServerSaturated,
                    ErrorCode::kDeadlineExceeded);
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -99,6 +99,8 @@
   const RoutedServer* FindOwner(RequestContext& context);
   VersionChoice ChooseVersion(RequestContext& context,
                               const ServiceEndpoints& endpoints);
+  static bool LeaveTargetVersion(RequestContext& context,
+                                 const ServiceEndpoints& endpoints);
   std::optional<TimePoint> FindPauseEndOfTargets(const RequestContext& context);
   void RefuseDuringPause(RequestContext& context, TimePoint pause_end);
   void WaitForTarget(RequestContext& context);
--- a/src/gateway/rollout_settings.h
+++ b/src/gateway/rollout_settings.h
@@ -70,6 +70,10 @@
   uint32_t m_trial_evidence = 30;
   uint32_t m_step_evidence = 15;
 
+  /// If the service has had so many requests, no step follows the trial without
+  /// an ended request of the target version, even if time runs out.
+  uint64_t m_busy_requests = 50;
+
   /// Evidence against the target version that suffices: the logarithm of the
   /// likelihood ratio of two rates of bad responses against one. By chance
   /// alone 12 is reached about once in 200,000 comparisons.
--- a/src/gateway/rollout_system.cc
+++ b/src/gateway/rollout_system.cc
@@ -15,7 +15,7 @@
 // leader one by one: there are hundreds a second.
 constexpr milliseconds kJudgeInterval{200};
 
-const RolloutSettings kSettings;
+constexpr RolloutSettings kSettings;
 
 RolloutRow* FindRow(GatewayTables& tables, const std::string& service) {
   return tables.m_rollouts.Find(tables.m_rollouts.FindIf(
@@ -120,10 +120,6 @@
   row.m_status_version = 0;
   row.m_status_in_flight = false;
   row.m_next_status_at = TimePoint();
-  // A rollback of the leader before may not have reached the store.
-  if (row.m_record && !row.m_record_stored) {
-    row.m_next_record = row.m_record;
-  }
 }
 
 // Drops what is decided on an earlier order, and begins the order in force.
@@ -230,10 +226,18 @@
   const auto applies = [&record](const RolloutCounts& counts) {
     return counts.m_order == record.m_order && counts.m_step == record.m_step;
   };
+  const bool has_target =
+      tables.m_servers
+          .FindIf([&row, &record](const ServerRow& server) {
+            return server.m_entry.m_service == row.m_service &&
+                   server.m_entry.m_software_version == record.m_target &&
+                   IsEligible(server);
+          })
+          .IsValid();
   RolloutProgress progress;
   progress.m_elapsed = ElapsedSinceOrder(row, now);
   progress.m_applied =
-      AreKeysStable(tables, row, false) &&
+      has_target && AreKeysStable(tables, row, false) &&
       AllMembers(tables, row, kSettings.m_step_silence, now, applies);
   progress.m_others_idle =
       AreKeysStable(tables, row, true) &&
@@ -400,6 +404,11 @@
       ResetLeaderState(row, epoch);
     }
     StartOrder(row, now);
+    // A rollback, of this leader or the one before, may not have reached the
+    // store, or the store may have lost the record.
+    if (!row.m_next_record && row.m_record && !row.m_record_stored) {
+      row.m_next_record = row.m_record;
+    }
     RunJudge(tables, row, now);
     WriteRecord(tables, row, now);
     WriteStatus(tables, row, now);
