--- a/src/gateway/rollout_settings.h
+++ b/src/gateway/rollout_settings.h
@@ -76,11 +76,12 @@
 
   /// Evidence against the target version that suffices: the logarithm of the
   /// likelihood ratio of two rates of bad responses against one. By chance
-  /// alone 12 is reached about once in 200,000 comparisons.
-  double m_fault_evidence = 12;
+  /// alone 9 is reached about once in 8,000 comparisons; the confirmation comes
+  /// on top.
+  double m_fault_evidence = 9;
 
   /// Fewest bad responses for a rollback.
-  uint32_t m_min_bad = 4;
+  uint32_t m_min_bad = 3;
 
   /// Fewest failures above the others' rate, as a fraction of the responses.
   /// Below it lie faults of single machines, which any version has.
