--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -147,6 +147,63 @@
   }
 }
 
+// An order that was misread would move traffic to a wrong version.
+TEST(OperatorRowsDecoderTest, DecodesOrdersOfRolloutsAndRejectsInvalidOnes) {
+  const OperatorRowsDecoder decoder;
+  std::string subject;
+  EXPECT_EQ(decoder.ClassifyRow("rollout/s", subject),
+            OperatorRowKind::kRollout);
+  EXPECT_EQ(subject, "s");
+  const RolloutOrder order = decoder.DecodeRollout(
+      "s", R"({"service":"s","target":"2.1","period_s":90.5})");
+  EXPECT_EQ(order.m_target, "2.1");
+  EXPECT_EQ(order.m_period, milliseconds(90'500));
+  for (const char* bad :
+       {R"({"service":"t","target":"2.1","period_s":90})",
+        R"({"service":"s","target":"","period_s":90})",
+        R"({"service":"s","target":"2.1","period_s":0})",
+        R"({"service":"s","target":"2.1"})", R"([])", R"({"service")"}) {
+    EXPECT_EQ(ErrorCodeOf([&] { decoder.DecodeRollout("s", bad); }),
+              ErrorCode::kIntentInvalid)
+        << bad;
+  }
+}
+
+TEST(OperatorRowsDecoderTest, EncodesTheStateOfARollout) {
+  RolloutRecord record;
+  record.m_service = "s";
+  record.m_target = "2.1";
+  record.m_state = RolloutState::kRolledBack;
+  const RowWrite write = OperatorRowsDecoder().EncodeRolloutStatus(record);
+  EXPECT_EQ(write.m_table, "status");
+  EXPECT_EQ(write.m_key, "rollout/s");
+  EXPECT_EQ(write.m_value,
+            R"({"service":"s","state":"rolled_back","target":"2.1"})");
+}
+
+// Sums that lose a class of latency would hide a slow version.
+TEST(ClusterCodecTest, RolloutsRoundTrip) {
+  RolloutRecord record;
+  record.m_service = "s";
+  record.m_target = "2.1";
+  record.m_order = 7;
+  record.m_state = RolloutState::kCompleted;
+  record.m_share = 0.5;
+  record.m_rejected = {"2.0"};
+  EXPECT_EQ(DecodeRolloutRecord(EncodeRecord(record)), record);
+  record.m_share = 1.5;
+  EXPECT_EQ(ErrorCodeOf([&] { DecodeRolloutRecord(EncodeRecord(record)); }),
+            ErrorCode::kMessageMalformed);
+  RolloutReport report;
+  report.m_counts.resize(1);
+  report.m_counts[0].m_target_requests = 5;
+  report.m_counts[0].m_routes.resize(1);
+  report.m_counts[0].m_routes[0].m_route = "r";
+  report.m_counts[0].m_routes[0].m_target.m_latencies[kLatencyClasses - 1] = 3;
+  const ClusterMessage message = DecodeClusterMessage(EncodeMessage(report));
+  EXPECT_EQ(std::get<RolloutReport>(message).m_counts, report.m_counts);
+}
+
 TEST(ClusterCodecTest, OwnersRecordsRoundTrip) {
   OwnersRecord owners;
   owners.m_epoch = 3;
