--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -44,6 +44,9 @@
   };
   Usage ReadUsage() const;
 
+  /// Returns the process id, or -1 once the process has ended.
+  pid_t GetPid() const { return m_pid; }
+
   /// Returns whether the process is still running.
   bool IsRunning();
 
