--- a/src/runtime/http_response_reader.h
+++ b/src/runtime/http_response_reader.h
@@ -4,6 +4,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "runtime/cancellation.h"
 #include "runtime/http_client_connection.h"
@@ -25,15 +26,16 @@
 
   HttpClientConnection& GetConnection() { return *m_connection; }
 
-  /// Reads the head of the response; with `has_body` false the response has no
-  /// body whatever its head says, as that to HEAD.
+  /// Reads the head of the final response, behind interim ones, and fails if
+  /// its status is not one of a final response; with `has_body` false the
+  /// response has no body whatever its head says, as that to HEAD.
   boost::system::error_code ReadHead(bool has_body, HttpResponse& response);
 
   /// Appends to `body` until the body is complete or `limit` bytes long.
   boost::system::error_code ReadBody(std::string& body, size_t limit);
 
-  bool IsDone() const { return m_parser.is_done(); }
-  bool KeepsAlive() const { return m_parser.get().keep_alive(); }
+  bool IsDone() const { return m_parser->is_done(); }
+  bool KeepsAlive() const { return m_parser->get().keep_alive(); }
   void SetOnComplete(OnComplete on_complete) {
     m_on_complete = std::move(on_complete);
   }
@@ -44,9 +46,16 @@
   void Read(std::string& piece) override;
 
  private:
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
+  boost::system::error_code ReadOneHead(bool has_body);
+
   std::unique_ptr<HttpClientConnection> m_connection;
   CancellationScope m_cancellation_scope;
-  boost::beast::http::response_parser<boost::beast::http::buffer_body> m_parser;
+
+  /// A new one for each head.
+  std::optional<Parser> m_parser;
   OnComplete m_on_complete;
 };
 
--- a/tests/integration/gateway_test.cc
+++ b/tests/integration/gateway_test.cc
@@ -74,6 +74,7 @@
         "X-Foxtailcart-Request-Id",
         request.m_headers.GetOr("X-Foxtailcart-Request-Id", ""));
     response.m_headers.Set("X-Foxtailcart-Response-Stamp", "stamp");
+    response.m_status = m_status;
     response.m_body = "wax";
     return response;
   }
@@ -163,6 +164,9 @@
   HttpClient m_client;
   std::vector<HttpRequest> m_served;
 
+  /// Status of the backend server's responses.
+  int m_status = 200;
+
   /// Time for which the backend server works on each request.
   milliseconds m_service_time{0};
 };
@@ -190,6 +194,23 @@
   EXPECT_EQ(m_served.size(), 1U);
 }
 
+// "HTTP/1.1 000" was passed on to the client, although it tells nothing about
+// the request, and the connection stayed in use.
+TEST_F(GatewayTest, ResponseWithoutAStatusLeavesTheOutcomeUnknown) {
+  m_status = 0;
+  WriteDirectory();
+  ASSERT_TRUE(AwaitReady(200));
+  HttpResponse response = Send("k");
+  const TimePoint until = Clock::now() + seconds(3);
+  while (response.m_status == 429 && Clock::now() < until) {
+    boost::this_fiber::sleep_for(kPollInterval);
+    response = Send("k");
+  }
+  EXPECT_EQ(response.m_status, 502);
+  EXPECT_NE(response.m_body.find("unknown"), std::string::npos);
+  EXPECT_EQ(m_backend.GetConnectionCount(), 0U);
+}
+
 // A row of another writer with an address that cannot be sent to ended the
 // control thread's loop, and the process served an ever older configuration.
 TEST_F(GatewayTest, MemberWithAnUnusableAddressHarmsNoOther) {
