--- a/src/core/event.cc
+++ b/src/core/event.cc
@@ -154,6 +154,11 @@
               "What became of the requests for permits of the backend servers "
               "that this host schedules, since the last summary; waited_ms is "
               "the mean wait of those granted."},
+    EventInfo{kResourcesShort, "resources_short",
+              "refused closed held capacity resident connections "
+              "server_connections",
+              "Refusals and closed connections since the last summary for lack "
+              "of memory or descriptors, and what is held, in bytes."},
     EventInfo{kRequestSuspected, "request_suspected", "cell server fingerprint",
               "A request was in flight when its backend server crashed."},
     EventInfo{kRequestCondemned, "request_condemned", "cell fingerprint",
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -68,6 +68,7 @@
   kTrafficSummary = 514,
   kAdmissionSummary = 515,
   kPermitSummary = 516,
+  kResourcesShort = 517,
   kRequestSuspected = 520,
   kRequestCondemned = 521,
   kAccessStale = 530,
