--- a/src/core/event.cc
+++ b/src/core/event.cc
@@ -88,6 +88,8 @@
     EventInfo{kOutageHolds, "outage_holds", "",
               "The store does not respond to the leader; grants get the "
               "maximum TTL."},
+    EventInfo{kStoreEraChanged, "store_era_changed", "era",
+              "The store has come back from an old copy."},
     EventInfo{kEvacuationChanged, "evacuation_changed", "data_centres",
               "The list of data centres to evacuate has changed."},
     EventInfo{kTokensIssued, "tokens_issued",
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -47,6 +47,7 @@
   kDispatcherLapsed = 321,
   kOrderFailed = 330,
   kOutageHolds = 331,
+  kStoreEraChanged = 332,
   kEvacuationChanged = 340,
   kTokensIssued = 350,
   kPlanMade = 400,
--- a/src/gateway/control_thread.cc
+++ b/src/gateway/control_thread.cc
@@ -12,6 +12,7 @@
 #include "gateway/owners_system.h"
 #include "gateway/range_grant_system.h"
 #include "gateway/relay_system.h"
+#include "gateway/store_era_system.h"
 #include "runtime/fiber_scheduler.h"
 #include "runtime/fiber_wait.h"
 
@@ -191,6 +192,9 @@
                                 const RowsResult& result,
                                 bool complete,
                                 BootTime sent_at) {
+  if (!AcceptEra(result.m_outcome, result.m_era)) {
+    return false;
+  }
   if (result.m_outcome == StoreOutcome::kHistoryLost) {
     table.m_loaded = false;
     return true;
@@ -225,6 +229,34 @@
   return true;
 }
 
+// Returns whether a result may be used.
+bool ControlThread::AcceptEra(StoreOutcome outcome, uint64_t era) {
+  const bool accepted =
+      StoreEraSystem::OnResult(m_tables, outcome, era, ReadClocks());
+  FollowEra();
+  return accepted;
+}
+
+// Has all tables read again if the era has changed. Watches of the era before
+// may stay open until the store has reached their versions again.
+void ControlThread::FollowEra() {
+  if (m_followed_era == m_tables.m_store_era.m_era) {
+    return;
+  }
+  const bool first = !m_followed_era;
+  m_followed_era = m_tables.m_store_era.m_era;
+  if (first) {
+    return;
+  }
+  for (WatchedTable& table : m_watched) {
+    table.m_loaded = false;
+  }
+  RestartWatches();
+  m_watch_needed.Notify();
+  Flush();
+  Wake();
+}
+
 void ControlThread::ApplyRows(WatchedTable& table,
                               const RowsResult& result,
                               bool complete) {
@@ -368,6 +400,7 @@
 void ControlThread::Receive(const ReportResponse& response, const Now& now) {
   LeadershipSystem::OnReportResponse(m_tables, response, now);
   MemberSystem::OnReportResponse(m_tables, response, now);
+  FollowEra();
   Flush();
   if (response.m_shutting_down) {
     Wake();
@@ -377,6 +410,7 @@
 void ControlThread::Receive(const LeaderAnnouncement& announcement,
                             const Now& now) {
   LeadershipSystem::OnAnnouncement(m_tables, announcement, now);
+  FollowEra();
   Flush();
 }
 
@@ -394,6 +428,7 @@
   const uint32_t kind = relayed.m_kind;
   const auto rows =
       RelaySystem::OnRelayedRows(m_tables, std::move(relayed), now);
+  FollowEra();
   if (rows && m_watched[kind].m_loaded) {
     ApplyRows(m_watched[kind], *rows, false);
   }
@@ -424,28 +459,42 @@
 }
 
 void ControlThread::Execute(const ReadRowCommand& command) {
-  const RowsResult result = m_store->Read(
-      command.m_table, command.m_key, m_settings.m_ownership.m_store_timeout);
+  RowsResult result = m_store->Read(command.m_table, command.m_key,
+                                    m_settings.m_ownership.m_store_timeout);
+  if (!AcceptEra(result.m_outcome, result.m_era)) {
+    result = RowsResult();
+  }
+  if (command.m_era && *command.m_era != m_tables.GetEra()) {
+    return;  // the systems have given up the calls of an older era
+  }
   const Now now = ReadClocks();
   if (command.m_table == kLeaderLeaseTable) {
     LeadershipSystem::OnRead(m_tables, result, now);
   } else {
-    OwnersSystem::OnRead(
-        m_tables, command.m_key.substr(std::string_view(kOwnersPrefix).size()),
-        result, now);
+    const std::string key = DecodeEraKey(command.m_key).m_key;
+    OwnersSystem::OnRead(m_tables,
+                         key.substr(std::string_view(kOwnersPrefix).size()),
+                         result, now);
   }
 }
 
 void ControlThread::Execute(const WriteRowCommand& command) {
   const RowWrite& write = command.m_write;
-  const WriteResult result =
+  WriteResult result =
       m_store->Write(write, m_settings.m_ownership.m_store_timeout);
+  if (!AcceptEra(result.m_outcome, result.m_era)) {
+    result = {StoreOutcome::kUnknown};
+  }
+  const EraKey key = DecodeEraKey(write.m_key);
+  if (key.m_era != m_tables.GetEra()) {
+    return;  // the systems have given up the calls of an older era
+  }
   const Now now = ReadClocks();
   if (write.m_table == kLeaderLeaseTable) {
     LeadershipSystem::OnWritten(m_tables, result, now);
-  } else if (write.m_key.starts_with(kOwnersPrefix)) {
+  } else if (key.m_key.starts_with(kOwnersPrefix)) {
     OwnersSystem::OnWritten(
-        m_tables, write.m_key.substr(std::string_view(kOwnersPrefix).size()),
+        m_tables, key.m_key.substr(std::string_view(kOwnersPrefix).size()),
         result, now);
   } else {
     MemberSystem::OnMemberWritten(m_tables, write, result, now);
--- a/src/gateway/control_thread.h
+++ b/src/gateway/control_thread.h
@@ -98,6 +98,8 @@
                    const RowsResult& result,
                    bool complete,
                    BootTime sent_at);
+  bool AcceptEra(StoreOutcome outcome, uint64_t era);
+  void FollowEra();
   void ApplyRows(WatchedTable& table, const RowsResult& result, bool complete);
   void Receive(const MemberReport& report, const Now& now);
   void Receive(const ReportResponse& response, const Now& now);
@@ -139,6 +141,9 @@
   /// Notified when this process must watch the store itself.
   FiberEvent m_watch_needed;
   BootTime m_published_read_at;
+
+  /// Era in which the watched tables have been read or are being read.
+  std::optional<uint64_t> m_followed_era;
   bool m_stopping = false;
   std::thread m_thread;
 };
--- a/src/gateway/directory_system.cc
+++ b/src/gateway/directory_system.cc
@@ -7,6 +7,7 @@
 
 #include "core/error.h"
 #include "gateway/cold_start_limit.h"
+#include "gateway/store_era_system.h"
 #include "runtime/address.h"
 
 namespace foxtail {
@@ -25,6 +26,11 @@
 // period of a draining server, and short against `kRemovalDelay`.
 constexpr std::chrono::milliseconds kMaxBackdating{1000};
 
+// A server that was gone before the store came back from an old copy must not
+// return with the copy, however long the copy is applied after. Far longer than
+// any copy is old.
+constexpr std::chrono::minutes kGoneServerMemory{10};
+
 // Returns since when this process has known that the servers' rows being
 // applied had changed. It may have heard so before it could read them.
 TimePoint ServerChangeTime(const GatewayTables& tables, const Now& now) {
@@ -159,15 +165,165 @@
   });
 }
 
+// At the first read of a table in an era of the store that is not the first one
+// here, records which rows may be of the copy. Those written later in the era
+// have higher versions.
+void RecordCopy(GatewayTables& tables,
+                WatchedKind kind,
+                const std::vector<StoredRow>& rows) {
+  if (!tables.m_progress[kind].m_loaded || tables.IsLoaded(kind)) {
+    return;
+  }
+  for (const StoredRow& row : rows) {
+    uint64_t& newest = tables.m_store_era.m_copy_versions[kind];
+    newest = std::max(newest, row.m_version);
+  }
+}
+
+bool MayBeOfCopy(const GatewayTables& tables,
+                 WatchedKind kind,
+                 const StoredRow& row) {
+  return tables.m_store_era.m_changed &&
+         row.m_version <= tables.m_store_era.m_copy_versions[kind];
+}
+
+// Puts the evacuations in force that the rows say, but for those that are kept.
+void SetEvacuations(GatewayTables& tables, const Now& now) {
+  const StoreEraState& state = tables.m_store_era;
+  std::set<std::string> evacuated = state.m_stored_evacuations;
+  for (const auto& [data_centre, kept] : state.m_kept_evacuations) {
+    if (kept) {
+      evacuated.insert(data_centre);
+    } else {
+      evacuated.erase(data_centre);
+    }
+  }
+  if (evacuated == tables.m_evacuated) {
+    return;
+  }
+  std::string names;
+  for (const std::string& name : evacuated) {
+    names += (names.empty() ? "" : ",") + name;
+  }
+  tables.m_events.push_back(
+      {EventNumber::kEvacuationChanged, {{"data_centres", names}}});
+  tables.m_evacuated = std::move(evacuated);
+  UpdateEvacuations(tables, now);
+}
+
+// Keeps the evacuations in force where the rows of a copy say otherwise.
+void KeepEvacuations(GatewayTables& tables) {
+  StoreEraState& state = tables.m_store_era;
+  state.m_kept_evacuations.clear();
+  for (const std::string& data_centre : state.m_stored_evacuations) {
+    state.m_kept_evacuations[data_centre] = false;
+  }
+  for (const std::string& data_centre : tables.m_evacuated) {
+    state.m_kept_evacuations[data_centre] = true;
+  }
+}
+
+void ReleaseEvacuations(GatewayTables& tables, const Now& now) {
+  StoreEraState& state = tables.m_store_era;
+  if (state.m_kept_evacuations.empty()) {
+    return;
+  }
+  if (now.m_steady < state.m_evacuations_kept_until) {
+    tables.WakeAt(state.m_evacuations_kept_until);
+    return;
+  }
+  state.m_kept_evacuations.clear();
+  SetEvacuations(tables, now);
+  tables.m_snapshot_due = true;
+}
+
+void DropUnconfirmedMembers(GatewayTables& tables, const Now& now) {
+  if (!tables.IsLoaded(kClusterRows)) {
+    return;  // the members may have registered again
+  }
+  tables.m_members.ForEach([&](MemberId id, const MemberRow& member) {
+    if (member.m_unconfirmed_until == TimePoint()) {
+      return;
+    }
+    if (now.m_steady < member.m_unconfirmed_until) {
+      tables.WakeAt(member.m_unconfirmed_until);
+      return;
+    }
+    tables.m_members.Erase(id);
+    tables.m_snapshot_due = true;
+  });
+}
+
+// Returns whether a row that may be of the copy shows a server that has gone
+// since, or an earlier life of one.
+bool IsPastServer(const GatewayTables& tables,
+                  const ServerRow* server,
+                  const BackendServerEntry& entry) {
+  if (server) {
+    const int64_t known = server->m_entry.m_incarnation;
+    return entry.m_incarnation < known ||
+           (entry.m_incarnation == known && !server->m_registered);
+  }
+  const auto gone = tables.m_gone_servers.find(entry.m_id);
+  return gone != tables.m_gone_servers.end() &&
+         entry.m_incarnation <= gone->second.m_incarnation;
+}
+
+void RememberGoneServer(GatewayTables& tables,
+                        const ServerRow& server,
+                        const Now& now) {
+  std::erase_if(tables.m_gone_servers, [&now](const auto& gone) {
+    return now.m_steady - gone.second.m_gone_at > kGoneServerMemory;
+  });
+  tables.m_gone_servers[server.m_entry.m_id] = {server.m_entry.m_incarnation,
+                                                now.m_steady};
+}
+
 bool HasKey(const std::vector<StoredRow>& rows, const std::string& key) {
   return std::ranges::any_of(rows, [&key](const StoredRow& row) {
     return row.m_key == key && !row.m_removed;
   });
 }
 
-void ApplyMember(GatewayTables& tables, const StoredRow& row) {
+// Takes over a member from a row of an older era, which only the copy holds,
+// until the member has had time to register in the present one.
+void ApplyOlderMember(GatewayTables& tables,
+                      const std::string& address,
+                      const StoredRow& row,
+                      const EraKey& key,
+                      const Now& now) {
+  const bool known = tables.m_members
+                         .FindIf([&](const MemberRow& member) {
+                           return member.m_record.m_address == address;
+                         })
+                         .IsValid();
+  if (known || row.m_removed) {
+    return;
+  }
+  try {
+    MemberRow member;
+    member.m_record = DecodeMemberRecord(row.m_value);
+    ParseAddress(member.m_record.m_address);
+    member.m_row_version = row.m_version;
+    member.m_era = key.m_era;
+    member.m_unconfirmed_until =
+        now.m_steady + tables.m_settings.m_era_member_grace;
+    tables.m_members.Insert(std::move(member));
+  } catch (const Error& failure) {
+    LogUnreadableRow(tables, kClusterTable, row.m_key, failure.GetDetail());
+  }
+}
+
+void ApplyMember(GatewayTables& tables,
+                 const StoredRow& row,
+                 const EraKey& key,
+                 const Now& now) {
   const std::string address =
-      row.m_key.substr(std::string_view(kMemberPrefix).size());
+      key.m_key.substr(std::string_view(kMemberPrefix).size());
+  if (key.m_era != tables.GetEra()) {
+    ApplyOlderMember(tables, address, row, key, now);
+    return;
+  }
   const MemberId id = tables.m_members.FindIf([&](const MemberRow& member) {
     return member.m_record.m_address == address;
   });
@@ -178,7 +334,7 @@
     }
     if (own) {
       tables.m_self_registered = false;
-      tables.m_self_row_version = 0;
+      tables.m_self_row_version = tables.GetMissingRowVersion();
     }
     return;
   }
@@ -202,19 +358,33 @@
   }
   member.m_record = std::move(record);
   member.m_row_version = row.m_version;
+  member.m_era = key.m_era;
+  member.m_unconfirmed_until = {};
+}
+
+// A record of a newer era counts before one with a higher number.
+bool IsOlder(const OwnersRecord& a, const OwnersRecord& b) {
+  const auto era_and_number = [](const OwnersRecord& record) {
+    return std::pair(record.m_epoch >> kEraEpochBits, record.m_number);
+  };
+  return era_and_number(a) < era_and_number(b);
 }
 
-void ApplyOwners(GatewayTables& tables, const StoredRow& row) {
+void ApplyOwners(GatewayTables& tables,
+                 const StoredRow& row,
+                 const EraKey& key) {
   const std::string service =
-      row.m_key.substr(std::string_view(kOwnersPrefix).size());
+      key.m_key.substr(std::string_view(kOwnersPrefix).size());
   if (row.m_removed) {
-    tables.m_owners.erase(service);
+    if (key.m_era == tables.GetEra()) {
+      tables.m_owners.erase(service);
+    }
     return;
   }
   try {
     OwnersRecord record = DecodeOwnersRecord(row.m_value);
     OwnersRecord& current = tables.m_owners[service];
-    if (record.m_number >= current.m_number) {
+    if (!IsOlder(record, current)) {
       current = std::move(record);
     }
   } catch (const Error& failure) {
@@ -222,6 +392,22 @@
   }
 }
 
+std::string MemberKey(const GatewayTables& tables, const std::string& address) {
+  return EncodeEraKey({tables.GetEra(), kMemberPrefix + address});
+}
+
+// The leader removes such rows in time.
+void RecordOlderRow(GatewayTables& tables,
+                    const StoredRow& row,
+                    const Now& now) {
+  StoreEraSystem::OnOlderRow(tables, now);
+  if (row.m_removed) {
+    tables.m_store_era.m_older_rows.erase(row.m_key);
+  } else {
+    tables.m_store_era.m_older_rows[row.m_key] = row.m_version;
+  }
+}
+
 bool IsReferenced(const GatewayTables& tables, const std::string& server) {
   return tables.m_ranges
       .FindIf([&server](const RangeRow& row) {
@@ -260,9 +446,13 @@
                                         const std::vector<StoredRow>& rows,
                                         bool complete,
                                         const Now& now) const {
-  std::set<std::string> evacuated;
-  if (!complete) {
-    evacuated = tables.m_evacuated;
+  StoreEraState& era = tables.m_store_era;
+  const bool after_copy = complete &&
+                          tables.m_progress[kOperatorRows].m_loaded &&
+                          !tables.IsLoaded(kOperatorRows);
+  RecordCopy(tables, kOperatorRows, rows);
+  if (complete) {
+    era.m_stored_evacuations.clear();
   }
   const auto routes_before = tables.m_routes;
   for (const StoredRow& row : rows) {
@@ -273,9 +463,12 @@
         break;
       case OperatorRowKind::kEvacuation:
         if (row.m_removed) {
-          evacuated.erase(data_centre);
+          era.m_stored_evacuations.erase(data_centre);
         } else {
-          evacuated.insert(data_centre);
+          era.m_stored_evacuations.insert(data_centre);
+        }
+        if (!MayBeOfCopy(tables, kOperatorRows, row)) {
+          era.m_kept_evacuations.erase(data_centre);
         }
         break;
       case OperatorRowKind::kOther:
@@ -285,16 +478,10 @@
   if (tables.m_routes != routes_before) {
     EndReplacedServers(tables, now);  // services may have been added
   }
-  if (evacuated != tables.m_evacuated) {
-    std::string names;
-    for (const std::string& name : evacuated) {
-      names += (names.empty() ? "" : ",") + name;
-    }
-    tables.m_events.push_back(
-        {EventNumber::kEvacuationChanged, {{"data_centres", names}}});
-    tables.m_evacuated = std::move(evacuated);
-    UpdateEvacuations(tables, now);
+  if (after_copy) {
+    KeepEvacuations(tables);
   }
+  SetEvacuations(tables, now);
   tables.m_snapshot_due = true;
 }
 
@@ -320,6 +507,17 @@
     }
     return false;
   }
+  if (MayBeOfCopy(tables, kServerRows, row)) {
+    if (IsPastServer(tables, server, entry)) {
+      if (server) {
+        HandleMissingServer(tables, *server, now);
+      }
+      return false;
+    }
+    entry.m_draining = entry.m_draining ||
+                       (server && server->m_entry.m_draining &&
+                        server->m_entry.m_incarnation == entry.m_incarnation);
+  }
   const bool is_new = !server;
   if (is_new) {
     const ServerId id = tables.m_servers.Insert({});
@@ -359,6 +557,7 @@
                                       const std::vector<StoredRow>& rows,
                                       bool complete,
                                       const Now& now) const {
+  RecordCopy(tables, kServerRows, rows);
   bool appeared = false;
   for (const StoredRow& row : rows) {
     appeared = ApplyServer(tables, row, now) || appeared;
@@ -379,28 +578,38 @@
 void DirectorySystem::ApplyClusterRows(GatewayTables& tables,
                                        const std::vector<StoredRow>& rows,
                                        bool complete,
-                                       const Now&) const {
+                                       const Now& now) const {
   for (const StoredRow& row : rows) {
-    if (row.m_key.starts_with(kMemberPrefix)) {
-      ApplyMember(tables, row);
-    } else if (row.m_key.starts_with(kOwnersPrefix)) {
-      ApplyOwners(tables, row);
+    const EraKey key = DecodeEraKey(row.m_key);
+    if (key.m_era > tables.GetEra()) {
+      continue;  // of a later era: a copy cannot hold such a row
+    }
+    if (key.m_era < tables.GetEra()) {
+      RecordOlderRow(tables, row, now);
+    }
+    if (key.m_key.starts_with(kMemberPrefix)) {
+      ApplyMember(tables, row, key, now);
+    } else if (key.m_key.starts_with(kOwnersPrefix)) {
+      ApplyOwners(tables, row, key);
     }
   }
   if (complete) {
     tables.m_members.ForEach([&](MemberId id, const MemberRow& member) {
-      if (!HasKey(rows, kMemberPrefix + member.m_record.m_address)) {
+      if (member.m_unconfirmed_until == TimePoint() &&
+          !HasKey(rows, MemberKey(tables, member.m_record.m_address))) {
         tables.m_members.Erase(id);
       }
     });
     tables.m_self_registered =
         tables.m_self_registered &&
-        HasKey(rows, kMemberPrefix + tables.m_self.m_address);
+        HasKey(rows, MemberKey(tables, tables.m_self.m_address));
   }
   tables.m_snapshot_due = true;
 }
 
 void DirectorySystem::Run(GatewayTables& tables, const Now& now) {
+  DropUnconfirmedMembers(tables, now);
+  ReleaseEvacuations(tables, now);
   tables.m_servers.ForEach([&](ServerId id, ServerRow& server) {
     if (server.m_missing && now.m_steady < server.m_missing_until) {
       tables.WakeAt(server.m_missing_until);
@@ -419,6 +628,7 @@
         tables.m_tokens->Forget(
             BuildColdStartLimit(server.m_entry.m_id, 0).m_name);
       }
+      RememberGoneServer(tables, server, now);
       tables.m_servers_by_id.erase(server.m_entry.m_id);
       tables.m_servers.Erase(id);
     }
--- a/src/gateway/directory_system.h
+++ b/src/gateway/directory_system.h
@@ -28,7 +28,9 @@
                         const Now& now) const;
 
   /// Deregisters servers whose registration stays missing after an outage, and
-  /// removes deregistered servers that no range refers to.
+  /// removes deregistered servers that no range refers to. Drops members that
+  /// have not registered in a new era of the store, and ends the time for which
+  /// evacuations are kept in it.
   static void Run(GatewayTables& tables, const Now& now);
 
  private:
--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -15,12 +15,14 @@
 #include "core/time.h"
 #include "gateway/backend_server.h"
 #include "gateway/cluster_codec.h"
+#include "gateway/era_key.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/member_contact.h"
 #include "gateway/server_control.h"
 #include "gateway/slice_weights.h"
 #include "gateway/speed_estimate.h"
 #include "routing/route_index.h"
+#include "store/store_version.h"
 #include "store/table_store.h"
 #include "traffic/token_issuer.h"
 
@@ -44,6 +46,11 @@
   MemberRecord m_record;
   uint64_t m_row_version = 0;
 
+  /// Era of the row. A member whose row is of an older era is dropped at
+  /// `m_unconfirmed_until` unless it has registered in the present one.
+  uint64_t m_era = 0;
+  TimePoint m_unconfirmed_until;
+
   /// The rest is maintained by the leader only: contact with the member,
   /// sequence number of its last report, and when the member is deregistered if
   /// no report comes.
@@ -111,6 +118,11 @@
 /// above hold the leader's epoch.
 inline constexpr uint32_t kFenceCounterBits = 32;
 
+/// Low bits of an epoch, which count the leaders of one era of the store. The
+/// bits above hold the era, so that fencing tokens are ordered by era first.
+/// Tokens stay below 2^53 up to era 511.
+inline constexpr uint32_t kEraEpochBits = 12;
+
 /// A range of shard keys of a service.
 struct RangeRow {
   ServiceId m_service;
@@ -269,6 +281,48 @@
 
   /// This process does not try to acquire the lease before this time.
   TimePoint m_next_acquire_at;
+
+  /// The highest epoch of any leader that this process knows of.
+  uint64_t m_highest_epoch = 0;
+
+  /// This process led when it saw the present era, and its authority had not
+  /// ended, so no other process has led since. Until its authority had ended,
+  /// none could acquire the lease.
+  bool m_may_continue = false;
+  BootTime m_continue_until;
+};
+
+/// What this process knows of the store's era.
+struct StoreEraState {
+  /// The newest era that this process knows of; unset before the first response
+  /// of the store.
+  std::optional<uint64_t> m_era;
+
+  /// The store has been in an older era, and since when this process has known
+  /// so.
+  bool m_changed = false;
+  TimePoint m_changed_at;
+
+  /// Newest row of each watched table in the first read of the era. Rows up to
+  /// this version may be of the copy.
+  std::array<uint64_t, kWatchedKinds> m_copy_versions{};
+
+  /// Evacuations as the rows say, and whether a data centre is evacuated in
+  /// spite of that, until its row is written in the present era or the time is
+  /// over.
+  std::set<std::string> m_stored_evacuations;
+  std::map<std::string, bool> m_kept_evacuations;
+  TimePoint m_evacuations_kept_until;
+
+  /// Rows of older eras in the cluster table, and their versions.
+  std::map<std::string, uint64_t> m_older_rows;
+  TimePoint m_next_removal_at;
+};
+
+/// A backend server that is no longer in the tables.
+struct GoneServer {
+  int64_t m_incarnation = 0;
+  TimePoint m_gone_at;
 };
 
 /// How far this process has read a watched table. All versions are versions of
@@ -337,7 +391,12 @@
 /// Reads one row of the gateway's own tables.
 struct ReadRowCommand {
   std::string m_table;
+
+  /// Stored key; empty for all rows of the table.
   std::string m_key;
+
+  /// Era in which the row is wanted; unset if it is not known yet.
+  std::optional<uint64_t> m_era;
 };
 
 /// Writes one row of the gateway's own tables.
@@ -376,6 +435,7 @@
   std::set<std::string> m_evacuated;
 
   LeaderLeaseState m_leader_lease;
+  StoreEraState m_store_era;
 
   /// Issues the workspaces' rate tokens; used while this process is the leader.
   std::optional<TokenIssuer> m_tokens;
@@ -402,6 +462,7 @@
   Table<ConfirmedMoveRow> m_confirmed_moves;
   Table<FailedCallsRow> m_failed_calls;
   std::map<std::string, ServerId> m_servers_by_id;
+  std::map<std::string, GoneServer> m_gone_servers;
 
   /// Stored owners record of each service, for routing.
   std::map<std::string, OwnersRecord> m_owners;
@@ -437,6 +498,20 @@
            now.m_boot < m_leader_lease.m_authority_until;
   }
 
+  /// Returns the era of the store, 0 if it is not known.
+  uint64_t GetEra() const { return m_store_era.m_era.value_or(0); }
+
+  /// Returns the version of a row that does not exist in the present era.
+  uint64_t GetMissingRowVersion() const {
+    return MakeStoreVersion(GetEra(), 0);
+  }
+
+  /// Returns whether a watched table has been read in the present era.
+  bool IsLoaded(WatchedKind kind) const {
+    return m_progress[kind].m_loaded &&
+           EraOfVersion(m_progress[kind].m_applied_version) == GetEra();
+  }
+
   /// Returns whether calls that time out now may have done so because this
   /// process was late.
   bool WasLate(const Now& now) const {
--- a/src/gateway/gateway_tick.cc
+++ b/src/gateway/gateway_tick.cc
@@ -7,6 +7,7 @@
 #include "gateway/owners_system.h"
 #include "gateway/range_grant_system.h"
 #include "gateway/range_placement_system.h"
+#include "gateway/store_era_system.h"
 
 namespace foxtail {
 
@@ -35,6 +36,8 @@
   MemberSystem::Run(tables, now);
   // 7. Log what became of moves and calls to servers.
   GrantLogSystem::Run(tables, now);
+  // 8. At the leader: remove rows of older eras of the store.
+  StoreEraSystem::Run(tables, now);
 }
 
 }  // namespace foxtail
--- a/src/gateway/leadership_system.cc
+++ b/src/gateway/leadership_system.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/error.h"
+#include "gateway/store_era_system.h"
 
 namespace foxtail {
 namespace {
@@ -46,6 +47,10 @@
   lease.m_row_loaded = true;
   lease.m_record = record;
   lease.m_row_version = version;
+  lease.m_highest_epoch = std::max(lease.m_highest_epoch, record.m_epoch);
+  if (NumberOfVersion(version) != 0 && !IsHeldBySelf(tables, record)) {
+    lease.m_may_continue = false;
+  }
 }
 
 void StopLeading(GatewayTables& tables, EventNumber event, const Now& now) {
@@ -58,6 +63,15 @@
   lease.m_next_acquire_at = now.m_steady + kReacquireDelay;
 }
 
+// Returns the epoch of the next leader: above all epochs that are known here,
+// and above all of older eras.
+uint64_t NextEpoch(const GatewayTables& tables) {
+  const LeaderLeaseState& lease = tables.m_leader_lease;
+  return std::max({lease.m_record.m_epoch, lease.m_highest_epoch,
+                   tables.GetEra() << kEraEpochBits}) +
+         1;
+}
+
 // Without the announcement the members would look for a leader in the store,
 // one after the other, and refuse requests meanwhile.
 void AnnounceSelf(GatewayTables& tables) {
@@ -72,14 +86,18 @@
   LeaderLeaseState& lease = tables.m_leader_lease;
   lease.m_phase = LeaderLeasePhase::kLeader;
   lease.m_outage_ttl_active = false;
-  tables.m_tokens.emplace(tables.m_settings.m_outstanding_token_ttl);
-  tables.m_tokens->Begin(now.m_steady);
-  tables.m_rates_advanced_at = now.m_steady;
-  tables.m_rates_accrued_for = Duration(0);
   lease.m_last_fence = lease.m_record.m_epoch << kFenceCounterBits;
   tables.m_events.push_back(
       {EventNumber::kControlLeaseAcquired,
        {{"cell", "cluster"}, {"epoch", lease.m_record.m_epoch}}});
+  if (std::exchange(lease.m_may_continue, false)) {
+    AnnounceSelf(tables);
+    return;
+  }
+  tables.m_tokens.emplace(tables.m_settings.m_outstanding_token_ttl);
+  tables.m_tokens->Begin(now.m_steady);
+  tables.m_rates_advanced_at = now.m_steady;
+  tables.m_rates_accrued_for = Duration(0);
   // A new leader reloads all owners from the store.
   tables.m_services.ForEach(
       [&tables](ServiceId id, ServiceRow&) { tables.m_services.Erase(id); });
@@ -105,6 +123,8 @@
   lease.m_record.m_epoch = epoch;
   lease.m_record.m_released = false;
   lease.m_row_version = lease_version;
+  lease.m_highest_epoch = std::max(lease.m_highest_epoch, epoch);
+  lease.m_may_continue = false;
   lease.m_unchanged_since = now.m_steady;
   lease.m_row_loaded = true;
 }
@@ -132,22 +152,54 @@
   lease.m_pending_record = std::move(record);
   lease.m_pending_sent_at = now.m_boot;
   lease.m_call_in_flight = true;
-  RowWrite write{kLeaderLeaseTable, kLeaderLeaseKey, lease.m_row_version,
-                 EncodeRecord(lease.m_pending_record)};
+  RowWrite write{kLeaderLeaseTable,
+                 EncodeEraKey({tables.GetEra(), kLeaderLeaseKey}),
+                 lease.m_row_version, EncodeRecord(lease.m_pending_record)};
   tables.m_outbox.emplace_back(WriteRowCommand{std::move(write)});
 }
 
+// Reads the whole table, since the key depends on the era, which may not be
+// known. The rows of older eras tell the highest epoch.
 void ReadLease(GatewayTables& tables) {
   tables.m_leader_lease.m_call_in_flight = true;
   tables.m_outbox.emplace_back(
-      ReadRowCommand{kLeaderLeaseTable, kLeaderLeaseKey});
+      ReadRowCommand{kLeaderLeaseTable, "", tables.m_store_era.m_era});
+}
+
+// Returns the row of the present era, or null.
+const StoredRow* FindLeaseRow(GatewayTables& tables,
+                              const RowsResult& result,
+                              const Now& now) {
+  LeaderLeaseState& lease = tables.m_leader_lease;
+  const StoredRow* present = nullptr;
+  for (const StoredRow& row : result.m_rows) {
+    if (DecodeEraKey(row.m_key).m_era == tables.GetEra()) {
+      present = &row;
+      continue;
+    }
+    StoreEraSystem::OnOlderRow(tables, now);
+    try {
+      const LeaderLeaseRecord older = DecodeLeaderLeaseRecord(row.m_value);
+      lease.m_highest_epoch = std::max(lease.m_highest_epoch, older.m_epoch);
+    } catch (const Error& failure) {
+      LogUnreadableRow(tables, kLeaderLeaseTable, row.m_key, failure.what());
+    }
+  }
+  return present;
 }
 
 // The lease is free if it does not exist or was released, if its holder was an
-// earlier run on this host, or if its row has not changed for its TTL.
+// earlier run on this host, or if its row has not changed for its TTL. After a
+// change of the era, the leader of an older one may act until the TTL is over.
 bool IsLeaseFree(const GatewayTables& tables, const Now& now) {
   const LeaderLeaseState& lease = tables.m_leader_lease;
-  return lease.m_row_version == 0 || lease.m_record.m_released ||
+  if (NumberOfVersion(lease.m_row_version) == 0) {
+    const StoreEraState& era = tables.m_store_era;
+    return !era.m_changed || lease.m_may_continue ||
+           now.m_steady - era.m_changed_at >=
+               tables.m_settings.m_leader_lease_ttl;
+  }
+  return lease.m_record.m_released ||
          lease.m_record.m_address == tables.m_self.m_address ||
          now.m_steady - lease.m_unchanged_since >=
              tables.m_settings.m_leader_lease_ttl;
@@ -190,7 +242,8 @@
   const TimePoint leader_silent_at =
       lease.m_leader_last_heard_at +
       tables.m_settings.m_leader_silence_timeout + rank_delay;
-  if (lease.m_row_loaded && now.m_steady < leader_silent_at) {
+  if (lease.m_row_loaded && !lease.m_may_continue &&
+      now.m_steady < leader_silent_at) {
     tables.WakeAt(leader_silent_at);
     return;
   }
@@ -210,7 +263,7 @@
     LeaderLeaseRecord record;
     record.m_address = tables.m_self.m_address;
     record.m_incarnation = tables.m_self.m_incarnation;
-    record.m_epoch = lease.m_record.m_epoch + 1;
+    record.m_epoch = NextEpoch(tables);
     lease.m_phase = LeaderLeasePhase::kAcquiring;
     WriteLease(tables, std::move(record), now);
     return;
@@ -277,17 +330,17 @@
     return;
   }
   LeaderLeaseRecord record;
-  uint64_t version = 0;
-  if (!result.m_rows.empty()) {
+  uint64_t version = tables.GetMissingRowVersion();
+  if (const StoredRow* row = FindLeaseRow(tables, result, now)) {
     try {
-      record = DecodeLeaderLeaseRecord(result.m_rows.front().m_value);
+      record = DecodeLeaderLeaseRecord(row->m_value);
     } catch (const Error& failure) {
       // The version of an unreadable row is kept, so that the row can be
       // replaced once its TTL has passed.
       LogUnreadableRow(tables, kLeaderLeaseTable, kLeaderLeaseKey,
                        failure.what());
     }
-    version = result.m_rows.front().m_version;
+    version = row->m_version;
   }
   const bool write_took_effect =
       lease.m_write_outcome_unknown && record == lease.m_pending_record;
@@ -337,10 +390,48 @@
   }
 }
 
+void LeadershipSystem::OnEraKnown(GatewayTables& tables) {
+  LeaderLeaseState& lease = tables.m_leader_lease;
+  if (EraOfVersion(lease.m_row_version) != tables.GetEra()) {
+    lease.m_row_version = tables.GetMissingRowVersion();
+    lease.m_row_loaded = false;
+  }
+}
+
+// The row of the new era may exist by now. That is found out when it is written
+// or read: until then it counts as missing.
+void LeadershipSystem::OnEraChanged(GatewayTables& tables, const Now& now) {
+  LeaderLeaseState& lease = tables.m_leader_lease;
+  if (lease.m_phase == LeaderLeasePhase::kLeader) {
+    lease.m_may_continue = true;
+    lease.m_continue_until = lease.m_authority_until;
+  }
+  lease.m_may_continue = lease.m_may_continue && !lease.m_resigning &&
+                         !tables.m_shutting_down &&
+                         now.m_boot < lease.m_continue_until;
+  if (lease.m_phase == LeaderLeasePhase::kLeader) {
+    StopLeading(tables, EventNumber::kControlLeaseLost, now);
+  }
+  lease.m_phase = LeaderLeasePhase::kFollower;
+  lease.m_call_in_flight = false;
+  lease.m_write_outcome_unknown = false;
+  lease.m_row_version = tables.GetMissingRowVersion();
+  lease.m_unchanged_since = now.m_steady;
+  lease.m_authority_until = {};
+  if (lease.m_may_continue) {
+    lease.m_next_acquire_at = {};
+    lease.m_next_store_call_at = now.m_steady;
+  }
+}
+
 void LeadershipSystem::OnReportResponse(GatewayTables& tables,
                                         const ReportResponse& response,
                                         const Now& now) {
   LeaderLeaseState& lease = tables.m_leader_lease;
+  if (!StoreEraSystem::OnMessage(tables, response.m_leader_lease_version,
+                                 now)) {
+    return;
+  }
   if (response.m_epoch < lease.m_record.m_epoch ||
       lease.m_phase == LeaderLeasePhase::kLeader) {
     return;
@@ -359,6 +450,10 @@
                                       const LeaderAnnouncement& announcement,
                                       const Now& now) {
   LeaderLeaseState& lease = tables.m_leader_lease;
+  if (!StoreEraSystem::OnMessage(tables, announcement.m_leader_lease_version,
+                                 now)) {
+    return;
+  }
   if (announcement.m_epoch < lease.m_record.m_epoch ||
       lease.m_phase == LeaderLeasePhase::kLeader) {
     return;
--- a/src/gateway/leadership_system.h
+++ b/src/gateway/leadership_system.h
@@ -19,6 +19,13 @@
                         const WriteResult& result,
                         const Now& now);
 
+  /// Forgets what messages of an older era have told, once the first response
+  /// of the store has shown the era.
+  static void OnEraKnown(GatewayTables& tables);
+
+  /// Gives up the lease of the era before, when the store has entered another.
+  static void OnEraChanged(GatewayTables& tables, const Now& now);
+
   /// Handles a leader's response to a report.
   static void OnReportResponse(GatewayTables& tables,
                                const ReportResponse& response,
--- a/src/gateway/member_system.cc
+++ b/src/gateway/member_system.cc
@@ -7,6 +7,7 @@
 #include "gateway/cold_start_limit.h"
 #include "gateway/equal_share_limiter.h"
 #include "gateway/relay_system.h"
+#include "gateway/store_era_system.h"
 
 namespace foxtail {
 namespace {
@@ -26,9 +27,13 @@
   return static_cast<uint32_t>(std::clamp<int64_t>(whole.count(), 0, kMax));
 }
 
+std::string MemberKey(uint64_t era, const std::string& address) {
+  return EncodeEraKey({era, kMemberPrefix + address});
+}
+
 void RegisterSelf(GatewayTables& tables, const Now& now) {
   if (tables.m_self_registered || tables.m_self_write_in_flight ||
-      tables.m_shutting_down || !tables.m_progress[kClusterRows].m_loaded) {
+      tables.m_shutting_down || !tables.IsLoaded(kClusterRows)) {
     return;
   }
   if (now.m_steady < tables.m_next_self_write_at) {
@@ -36,7 +41,8 @@
     return;
   }
   tables.m_self_write_in_flight = true;
-  RowWrite write{kClusterTable, kMemberPrefix + tables.m_self.m_address,
+  RowWrite write{kClusterTable,
+                 MemberKey(tables.GetEra(), tables.m_self.m_address),
                  tables.m_self_row_version, EncodeRecord(tables.m_self)};
   tables.m_outbox.emplace_back(WriteRowCommand{std::move(write)});
 }
@@ -46,7 +52,8 @@
     return;
   }
   tables.m_members.ForEach([&](MemberId, MemberRow& member) {
-    if (member.m_record.m_address == tables.m_self.m_address) {
+    if (member.m_record.m_address == tables.m_self.m_address ||
+        member.m_era != tables.GetEra()) {
       return;
     }
     const Duration timeout = tables.m_settings.m_member_silence_timeout;
@@ -58,7 +65,8 @@
       return;
     }
     member.m_deregister_at = now.m_steady + timeout;
-    RowWrite write{kClusterTable, kMemberPrefix + member.m_record.m_address,
+    RowWrite write{kClusterTable,
+                   MemberKey(member.m_era, member.m_record.m_address),
                    member.m_row_version, std::nullopt};
     tables.m_outbox.emplace_back(WriteRowCommand{std::move(write)});
   });
@@ -253,7 +261,7 @@
                                    const RowWrite& write,
                                    const WriteResult& result,
                                    const Now& now) {
-  if (write.m_key != kMemberPrefix + tables.m_self.m_address) {
+  if (write.m_key != MemberKey(tables.GetEra(), tables.m_self.m_address)) {
     return;  // the removal of a silent member arrives through the watch
   }
   tables.m_self_write_in_flight = false;
@@ -358,7 +366,9 @@
 void MemberSystem::OnReportResponse(GatewayTables& tables,
                                     const ReportResponse& response,
                                     const Now& now) {
-  if (response.m_epoch < tables.m_leader_lease.m_record.m_epoch) {
+  if (!StoreEraSystem::OnMessage(tables, response.m_leader_lease_version,
+                                 now) ||
+      response.m_epoch < tables.m_leader_lease.m_record.m_epoch) {
     return;
   }
   RecordLeaderProgress(tables, response, now);
--- a/src/gateway/owners_system.cc
+++ b/src/gateway/owners_system.cc
@@ -8,8 +8,8 @@
 namespace foxtail {
 namespace {
 
-std::string OwnersKey(const ServiceRow& service) {
-  return kOwnersPrefix + service.m_name;
+std::string OwnersKey(const GatewayTables& tables, const ServiceRow& service) {
+  return EncodeEraKey({tables.GetEra(), kOwnersPrefix + service.m_name});
 }
 
 void AddServices(GatewayTables& tables) {
@@ -22,17 +22,20 @@
   }
 }
 
+// Returns when all grants of a leader have expired whose authority has ended at
+// `ended_at`. Its last call may arrive at the server after that.
+TimePoint FindGrantsEnd(const GatewayTables& tables, TimePoint ended_at) {
+  const OwnershipSettings& settings = tables.m_settings;
+  return ended_at + settings.m_server_call_timeout +
+         std::chrono::duration_cast<Duration>(settings.m_outage_grant_ttl *
+                                              (1 + settings.m_clock_drift));
+}
+
 void RestoreRanges(GatewayTables& tables,
                    ServiceId id,
                    const OwnersRecord& record,
+                   TimePoint granted_until,
                    const Now& now) {
-  const OwnershipSettings& settings = tables.m_settings;
-  // All grants of the preceding leader have expired by this time. Its last call
-  // may arrive at the server after this read.
-  const TimePoint granted_until =
-      now.m_steady + settings.m_server_call_timeout +
-      std::chrono::duration_cast<Duration>(settings.m_outage_grant_ttl *
-                                           (1 + settings.m_clock_drift));
   for (const OwnedRange& owned : record.m_ranges) {
     RangeRow row;
     row.m_service = id;
@@ -75,15 +78,56 @@
   service.m_dirty = false;
   const OwnersRecord record =
       BuildRecord(tables, id, ++service.m_record_number);
-  RowWrite write{kClusterTable, OwnersKey(service), service.m_row_version,
-                 EncodeRecord(record)};
+  RowWrite write{kClusterTable, OwnersKey(tables, service),
+                 service.m_row_version, EncodeRecord(record)};
   tables.m_outbox.emplace_back(WriteRowCommand{std::move(write)});
 }
 
 void ReadOwners(GatewayTables& tables, ServiceRow& service) {
   service.m_call_in_flight = true;
-  tables.m_outbox.emplace_back(
-      ReadRowCommand{kClusterTable, OwnersKey(service)});
+  tables.m_outbox.emplace_back(ReadRowCommand{
+      kClusterTable, OwnersKey(tables, service), tables.m_store_era.m_era});
+}
+
+// Returns whether rows of older eras, whose owners count if the present era has
+// none yet, may not have been read.
+bool MayMissOlderRows(const GatewayTables& tables) {
+  return tables.GetEra() > 0 && !tables.IsLoaded(kClusterRows);
+}
+
+// Restores the owners in an era without a record. Moves since the newest known
+// record may be lost, so a range may have any holder: one without a name, which
+// cannot be released. The leaders of older eras had authority until the lease
+// TTL was over, and one of this era has made no grants without a record.
+void RestoreFromOlderEras(GatewayTables& tables, ServiceId id, const Now& now) {
+  ServiceRow& service = tables.m_services.Get(id);
+  const TimePoint granted_until =
+      FindGrantsEnd(tables, tables.m_store_era.m_changed_at +
+                                tables.m_settings.m_leader_lease_ttl);
+  const PreviousOwner unknown{"", false};
+  OwnersRecord record;
+  if (const auto known = tables.m_owners.find(service.m_name);
+      known != tables.m_owners.end()) {
+    record = known->second;
+  }
+  service.m_record_number = record.m_number;
+  for (OwnedRange& owned : record.m_ranges) {
+    std::erase(owned.m_previous_owners, unknown);
+    owned.m_previous_owners.push_back(unknown);
+  }
+  RestoreRanges(tables, id, record, granted_until, now);
+  service.m_dirty = !record.m_ranges.empty();
+  if (service.m_dirty) {
+    GrantLogSystem::OnTakeoverStarted(service, now);
+  } else if (now.m_steady < granted_until) {
+    RangeRow row;
+    row.m_service = id;
+    row.m_range = {0, kShardKeys - 1};
+    row.m_previous_owners = {unknown};
+    row.m_granted_until = granted_until;
+    row.m_move_started_at = now.m_steady;
+    tables.m_ranges.Insert(std::move(row));
+  }
 }
 
 // Starts the next phase of the ranges whose new owner is now recorded. Returns
@@ -130,6 +174,9 @@
     if (service.m_call_in_flight || !due) {
       return;
     }
+    if (!service.m_row_loaded && MayMissOlderRows(tables)) {
+      return;
+    }
     if (now.m_steady < service.m_next_store_call_at) {
       tables.WakeAt(service.m_next_store_call_at);
     } else if (!service.m_row_loaded || service.m_write_outcome_unknown) {
@@ -140,6 +187,16 @@
   });
 }
 
+void OwnersSystem::OnEraChanged(GatewayTables& tables) {
+  tables.m_services.ForEach([&tables](ServiceId, ServiceRow& service) {
+    service.m_call_in_flight = false;
+    service.m_write_outcome_unknown = false;
+    service.m_row_version = tables.GetMissingRowVersion();
+    service.m_dirty = service.m_row_loaded;
+    service.m_next_store_call_at = TimePoint();
+  });
+}
+
 void OwnersSystem::OnRead(GatewayTables& tables,
                           const std::string& service_name,
                           const RowsResult& result,
@@ -160,7 +217,7 @@
     try {
       record = DecodeOwnersRecord(result.m_rows.front().m_value);
     } catch (const Error& failure) {
-      LogUnreadableRow(tables, kClusterTable, OwnersKey(*service),
+      LogUnreadableRow(tables, kClusterTable, OwnersKey(tables, *service),
                        failure.what());
       return;
     }
@@ -174,8 +231,13 @@
     return;
   }
   service->m_row_loaded = true;
+  if (result.m_rows.empty() && tables.m_store_era.m_changed) {
+    service->m_row_version = tables.GetMissingRowVersion();
+    RestoreFromOlderEras(tables, id, now);
+    return;
+  }
   service->m_record_number = record.m_number;
-  RestoreRanges(tables, id, record, now);
+  RestoreRanges(tables, id, record, FindGrantsEnd(tables, now.m_steady), now);
   service->m_dirty = !record.m_ranges.empty();
   if (service->m_dirty) {
     GrantLogSystem::OnTakeoverStarted(*service, now);
--- a/src/gateway/owners_system.h
+++ b/src/gateway/owners_system.h
@@ -10,6 +10,10 @@
  public:
   static void Run(GatewayTables& tables, const Now& now);
 
+  /// Writes the owners that this process knows in the new era before it acts on
+  /// them, in case it goes on leading.
+  static void OnEraChanged(GatewayTables& tables);
+
   /// Handles the result of reading an owners row.
   static void OnRead(GatewayTables& tables,
                      const std::string& service_name,
--- a/src/gateway/range_grant_system.cc
+++ b/src/gateway/range_grant_system.cc
@@ -193,6 +193,16 @@
   row.m_next_server_call_at = TimePoint();
 }
 
+// Without an owners record in the present era of the store, the next leader
+// could not know of grants of this one.
+bool IsRecordedInEra(const GatewayTables& tables, const RangeRow& row) {
+  if (!tables.m_store_era.m_changed) {
+    return true;
+  }
+  const ServiceRow* service = tables.m_services.Find(row.m_service);
+  return service && NumberOfVersion(service->m_row_version) != 0;
+}
+
 void UpdateOutageTtl(GatewayTables& tables, const Now& now) {
   LeaderLeaseState& lease = tables.m_leader_lease;
   const Duration left = lease.m_authority_until - now.m_boot;
@@ -340,7 +350,7 @@
   UpdateOutageTtl(tables, now);
   ResignIfPartitioned(tables);
   tables.m_ranges.ForEach([&](RangeId id, RangeRow& row) {
-    if (row.m_call_in_flight) {
+    if (row.m_call_in_flight || !IsRecordedInEra(tables, row)) {
       return;
     }
     HandleServerRestart(tables, row);
--- a/src/gateway/range_placement_system.cc
+++ b/src/gateway/range_placement_system.cc
@@ -294,7 +294,7 @@
 void RangePlacementSystem::Run(GatewayTables& tables, const Now& now) {
   const TimePoint grace_ends_at = tables.m_store_reachable_since +
                                   tables.m_settings.m_registration_grace_period;
-  if (!tables.m_progress[kServerRows].m_loaded || !tables.IsLeading(now)) {
+  if (!tables.IsLoaded(kServerRows) || !tables.IsLeading(now)) {
     return;
   }
   if (now.m_steady < grace_ends_at) {
--- a/src/gateway/relay_system.cc
+++ b/src/gateway/relay_system.cc
@@ -5,6 +5,7 @@
 
 #include "core/error.h"
 #include "gateway/relay_groups.h"
+#include "gateway/store_era_system.h"
 
 namespace foxtail {
 namespace {
@@ -17,11 +18,13 @@
 // are applied here. `relayed` holds rows that are not applied yet.
 void ReplaceOwnersRecords(const GatewayTables& tables, RelayedRows& relayed) {
   std::erase_if(relayed.m_rows, [&](const StoredRow& row) {
-    if (row.m_removed || !row.m_key.starts_with(kOwnersPrefix)) {
+    const EraKey key = DecodeEraKey(row.m_key);
+    if (row.m_removed || key.m_era != tables.GetEra() ||
+        !key.m_key.starts_with(kOwnersPrefix)) {
       return false;
     }
     const std::string service =
-        row.m_key.substr(std::string_view(kOwnersPrefix).size());
+        key.m_key.substr(std::string_view(kOwnersPrefix).size());
     const auto before = tables.m_owners.find(service);
     if (before == tables.m_owners.end()) {
       return false;
@@ -127,7 +130,8 @@
                                                      RelayedRows relayed,
                                                      const Now& now) {
   if (relayed.m_epoch < tables.m_leader_lease.m_record.m_epoch ||
-      relayed.m_kind >= kWatchedKinds) {
+      relayed.m_kind >= kWatchedKinds ||
+      !StoreEraSystem::OnMessage(tables, relayed.m_to_version, now)) {
     return std::nullopt;
   }
   WatchProgress& progress = tables.m_progress[relayed.m_kind];
--- a/src/standins/platform_standin.cc
+++ b/src/standins/platform_standin.cc
@@ -16,6 +16,7 @@
 constexpr int kStatusPreconditionFailed = 412;
 constexpr int kStatusUnavailable = 503;
 constexpr int kHexBase = 16;
+constexpr const char* kEraHeader = "X-Foxtailcart-Store-Era";
 
 HttpResponse JsonResponse(int status, const Json::Value& body) {
   HttpResponse response;
@@ -89,10 +90,13 @@
   if (m_request_delay.count() > 0) {
     boost::this_fiber::sleep_for(m_request_delay);
   }
-  if (m_down) {
-    return JsonResponse(kStatusUnavailable, Json::Value());
+  HttpResponse response = m_down
+                              ? JsonResponse(kStatusUnavailable, Json::Value())
+                              : HandleRows(request);
+  if (m_era > 0) {
+    response.m_headers.Set(kEraHeader, std::to_string(m_era));
   }
-  return HandleRows(request);
+  return response;
 }
 
 HttpResponse PlatformStandin::HandleFaults(const HttpRequest& request) {
@@ -104,11 +108,20 @@
     m_request_delay = std::chrono::milliseconds(
         body.get("delay_ms", Json::Int64(m_request_delay.count())).asInt64());
     if (body.get("drop_history", false).asBool()) {
-      m_history_start = m_last_version;
+      m_content.m_history_start = m_content.m_last_version;
+    }
+    if (body.get("take_copy", false).asBool()) {
+      m_copy = m_content;
+    }
+    if (body.get("restore_copy", false).asBool()) {
+      m_content = m_copy;
+      ++m_era;
     }
+    m_era = body.get("era", Json::UInt64(m_era)).asUInt64();
     m_rows_changed.Notify();
   }
   Json::Value state;
+  state["era"] = Json::UInt64(m_era);
   state["reads"] = Json::UInt64(m_reads);
   state["writes"] = Json::UInt64(m_writes);
   return JsonResponse(200, state);
@@ -134,7 +147,7 @@
 
 Json::Value PlatformStandin::CommonFields() const {
   Json::Value body;
-  body["ver"] = Json::UInt64(m_last_version);
+  body["ver"] = Json::UInt64(m_content.m_last_version);
   body["now_s"] = ToSeconds(Clock::now() - m_started_at);
   return body;
 }
@@ -145,8 +158,9 @@
   Json::Value body = CommonFields();
   body["rows"] = Json::arrayValue;
   body["has_more"] = false;
-  for (auto row = m_rows.lower_bound({table, QueryField(query, "from")});
-       row != m_rows.end() && row->first.first == table; ++row) {
+  for (auto row =
+           m_content.m_rows.lower_bound({table, QueryField(query, "from")});
+       row != m_content.m_rows.end() && row->first.first == table; ++row) {
     const auto& [key, content] = *row;
     if (!target.empty() && key.second >= target) {
       break;
@@ -170,12 +184,12 @@
     if (m_down) {
       return JsonResponse(kStatusUnavailable, Json::Value());
     }
-    if (after < m_history_start) {
+    if (after < m_content.m_history_start || after > m_content.m_last_version) {
       return JsonResponse(kStatusGone, Json::Value());
     }
     std::map<uint64_t, Json::Value> changes;
-    for (auto row = m_rows.lower_bound({table, ""});
-         row != m_rows.end() && row->first.first == table; ++row) {
+    for (auto row = m_content.m_rows.lower_bound({table, ""});
+         row != m_content.m_rows.end() && row->first.first == table; ++row) {
       const Row& content = row->second;
       if (content.m_version > after) {
         changes[content.m_version] =
@@ -197,9 +211,10 @@
 }
 
 uint64_t PlatformStandin::VersionOf(const Key& key) const {
-  const auto row = m_rows.find(key);
-  return row == m_rows.end() || row->second.m_removed ? 0
-                                                      : row->second.m_version;
+  const auto row = m_content.m_rows.find(key);
+  return row == m_content.m_rows.end() || row->second.m_removed
+             ? 0
+             : row->second.m_version;
 }
 
 HttpResponse PlatformStandin::RunTransaction(const std::string& text) {
@@ -210,14 +225,14 @@
       return JsonResponse(kStatusPreconditionFailed, CommonFields());
     }
   }
-  ++m_last_version;
+  ++m_content.m_last_version;
   for (const Json::Value& write : request["writes"]) {
-    m_rows[{write["table"].asString(), write["key"].asString()}] = {
-        m_last_version, write["value"].asString(), false};
+    m_content.m_rows[{write["table"].asString(), write["key"].asString()}] = {
+        m_content.m_last_version, write["value"].asString(), false};
   }
   for (const Json::Value& drop : request["drop"]) {
-    m_rows[{drop["table"].asString(), drop["key"].asString()}] = {
-        m_last_version, "", true};
+    m_content.m_rows[{drop["table"].asString(), drop["key"].asString()}] = {
+        m_content.m_last_version, "", true};
   }
   m_rows_changed.Notify();
   if (m_responses_to_lose > 0) {
--- a/src/standins/platform_standin.h
+++ b/src/standins/platform_standin.h
@@ -17,7 +17,7 @@
 
 /// Stand-in for the platform's table store, with the failures of the real
 /// store: outages, slow responses, responses that are lost after the write took
-/// effect, and change history that is dropped.
+/// effect, change history that is dropped, and returns from an old copy.
 class PlatformStandin {
  public:
   /// Handles one request: the store's row calls, and the injected failures
@@ -33,6 +33,16 @@
     bool m_removed = false;
   };
 
+  /// State that a copy holds.
+  struct Content {
+    /// Rows by table and key. Removed rows stay, since the feed reports them.
+    std::map<Key, Row> m_rows;
+    uint64_t m_last_version = 0;
+
+    /// The feed no longer reports changes up to this version.
+    uint64_t m_history_start = 0;
+  };
+
   HttpResponse HandleFaults(const HttpRequest& request);
   HttpResponse HandleRows(const HttpRequest& request);
   HttpResponse GetRows(const std::map<std::string, std::string>& query) const;
@@ -41,12 +51,11 @@
   uint64_t VersionOf(const Key& key) const;
   Json::Value CommonFields() const;
 
-  /// Rows by table and key. Removed rows stay, since the feed reports them.
-  std::map<Key, Row> m_rows;
-  uint64_t m_last_version = 0;
+  Content m_content;
+  Content m_copy;
 
-  /// The feed no longer reports changes up to this version.
-  uint64_t m_history_start = 0;
+  /// Era that all responses to row calls say; in era 0 they say none.
+  uint64_t m_era = 0;
   FiberEvent m_rows_changed;
   TimePoint m_started_at = Clock::now();
   bool m_down = false;
--- a/src/store/table_store.cc
+++ b/src/store/table_store.cc
@@ -20,4 +20,10 @@
   return "";
 }
 
+bool ShowsEra(StoreOutcome outcome) {
+  return outcome == StoreOutcome::kDone ||
+         outcome == StoreOutcome::kVersionMismatch ||
+         outcome == StoreOutcome::kHistoryLost;
+}
+
 }  // namespace foxtail
--- a/src/store/table_store.h
+++ b/src/store/table_store.h
@@ -29,13 +29,16 @@
 /// Returns the outcome's name for logs.
 const char* NameOf(StoreOutcome outcome);
 
+/// Returns whether a result with this outcome shows the store's era.
+bool ShowsEra(StoreOutcome outcome);
+
 /// One row of a table.
 struct StoredRow {
   std::string m_key;
   std::string m_value;
 
   /// Version of the row. Versions grow with each change of any row of the
-  /// store.
+  /// store, and with its era (`MakeStoreVersion`).
   uint64_t m_version = 0;
 
   /// Whether the row was removed; `m_value` is empty then.
@@ -48,6 +51,10 @@
   StoreOutcome m_outcome = StoreOutcome::kUnavailable;
   std::vector<StoredRow> m_rows;
   uint64_t m_version = 0;
+
+  /// Era of the store, which rises when the store comes back from an old copy;
+  /// 0 if the store says none. Only set if `ShowsEra`.
+  uint64_t m_era = 0;
 };
 
 /// A conditional write or removal of one row.
@@ -55,7 +62,7 @@
   std::string m_table;
   std::string m_key;
 
-  /// Version the row must have; 0 means that it must not exist.
+  /// Version the row must have; number 0 means that it must not exist.
   uint64_t m_expected_version = 0;
 
   /// New value; `std::nullopt` removes the row.
@@ -67,6 +74,9 @@
 struct WriteResult {
   StoreOutcome m_outcome = StoreOutcome::kUnavailable;
   uint64_t m_version = 0;
+
+  /// Era of the store, as in `RowsResult`.
+  uint64_t m_era = 0;
 };
 
 /// Transactional table store for all persistent state.
@@ -81,14 +91,15 @@
 
   /// Waits up to `wait` for changes after a version and returns them. Ends
   /// early without a result when `cancellation`, which may be null, is
-  /// triggered.
+  /// triggered. The history is lost if the era has changed since the version.
   virtual RowsResult Watch(
       const std::string& table,
       uint64_t after_version,
       Duration wait,
       const std::shared_ptr<Cancellation>& cancellation) = 0;
 
-  /// Writes or removes one row if it has the expected version.
+  /// Writes or removes one row if it has the expected version. If the era is
+  /// another one than that of the expected version, the outcome is unknown.
   virtual WriteResult Write(const RowWrite& write, Duration timeout) = 0;
 };
 
--- a/tests/integration/gateway_test.cc
+++ b/tests/integration/gateway_test.cc
@@ -234,6 +234,27 @@
   EXPECT_NE(Send("k-2").m_status, 401);
 }
 
+// The copy's configuration, with a withdrawn API key, was taken for the newest,
+// and the open watches waited for versions that the store had lost.
+TEST_F(GatewayTest, WithdrawnKeyStaysWithdrawnWhenTheStoreLosesWrites) {
+  constexpr seconds kMaxConfigurationDelay{2 + 5};
+  WriteDirectory();
+  ASSERT_TRUE(AwaitReady(200));
+  Post(m_store_port, "/faults", R"({"take_copy":true})");
+  WriteConfiguration(4, "k-2");
+  boost::this_fiber::sleep_for(kMaxConfigurationDelay);
+  ASSERT_EQ(Send("k").m_status, 401);
+  Post(m_store_port, "/faults", R"({"restore_copy":true})");
+  boost::this_fiber::sleep_for(kMaxConfigurationDelay);
+  EXPECT_EQ(ReadyStatus(), 200);
+  EXPECT_EQ(Send("k").m_status, 401);
+  EXPECT_NE(Send("k-2").m_status, 401);
+  WriteConfiguration(5, "k-3");
+  boost::this_fiber::sleep_for(kMaxConfigurationDelay);
+  EXPECT_EQ(Send("k-2").m_status, 401);
+  EXPECT_NE(Send("k-3").m_status, 401);
+}
+
 // SIGHUP ended a process that was stopping, and so did a second SIGTERM: the
 // requests that it had passed on were never answered.
 TEST_F(GatewayTest, SignalsDuringAStopEndNoRequest) {
--- a/tests/support/gateway_world.cc
+++ b/tests/support/gateway_world.cc
@@ -10,6 +10,7 @@
 #include "gateway/range_grant_system.h"
 #include "gateway/relay_system.h"
 #include "gateway/routing_snapshot.h"
+#include "gateway/store_era_system.h"
 
 namespace foxtail {
 namespace {
@@ -116,13 +117,42 @@
 
 void GatewayWorld::SetEvacuated(const std::string& data_centre,
                                 bool evacuated) {
+  if (evacuated) {
+    m_evacuated.insert(data_centre);
+  } else {
+    m_evacuated.erase(data_centre);
+  }
   PutRow(m_decoder.OperatorTable(), data_centre, "", !evacuated);
 }
 
 void GatewayWorld::SetWorkspaceRate(double rate) {
   std::ostringstream fields;
   fields << ++m_config_version << " " << rate;
-  PutRow(m_decoder.OperatorTable(), "config", fields.str());
+  m_config = fields.str();
+  PutRow(m_decoder.OperatorTable(), "config", m_config);
+}
+
+void GatewayWorld::TakeCopy() {
+  m_copied_rows = m_rows;
+  m_copied_version = m_version;
+}
+
+void GatewayWorld::RestoreCopy() {
+  m_rows = m_copied_rows;
+  m_version = m_copied_version;
+  ++m_era;
+}
+
+void GatewayWorld::WriteRowsAgain() {
+  PutRow(m_decoder.OperatorTable(), "config", m_config);
+  for (const char* data_centre : {"dc-0", "dc-1"}) {
+    SetEvacuated(data_centre, m_evacuated.contains(data_centre));
+  }
+  for (size_t server = 0; server < m_servers.size(); ++server) {
+    if (m_servers[server].m_up) {
+      RegisterServer(server);
+    }
+  }
 }
 
 void GatewayWorld::SetClientRate(size_t host, double rate) {
@@ -136,6 +166,7 @@
 void GatewayWorld::Start(size_t host) {
   FakeHost& fake = m_hosts[host];
   fake.m_up = true;
+  fake.m_configuration = 0;
   ++fake.m_incarnation;
   fake.m_tables = GatewayTables();
   fake.m_tables.m_self = {HostAddress(host), std::to_string(fake.m_incarnation),
@@ -170,6 +201,20 @@
     }
   }
   CountDoubleGrants();
+  CheckHosts();
+}
+
+void GatewayWorld::CheckHosts() {
+  size_t leaders = 0;
+  for (FakeHost& host : m_hosts) {
+    const GatewayTables& tables = host.m_tables;
+    leaders += host.m_up && tables.IsLeading(ReadNow()) ? 1 : 0;
+    const uint64_t version =
+        tables.m_routes ? tables.m_routes->GetConfig().m_version : 0;
+    m_older_configurations += version < host.m_configuration ? 1 : 0;
+    host.m_configuration = std::max(host.m_configuration, version);
+  }
+  m_double_leaders += leaders > 1 ? 1 : 0;
 }
 
 void GatewayWorld::RunHost(size_t host) {
@@ -231,8 +276,7 @@
   const GatewayTables& tables = m_hosts[host].m_tables;
   for (uint32_t i = 0; i < kWatchedKinds; ++i) {
     const auto kind = static_cast<WatchedKind>(i);
-    if (tables.m_progress[kind].m_applied_version == 0 ||
-        RelaySystem::MustWatch(tables, ReadNow()) ||
+    if (!tables.IsLoaded(kind) || RelaySystem::MustWatch(tables, ReadNow()) ||
         RelaySystem::IsProbeDue(tables, kind, ReadNow())) {
       ReadChanges(host, kind);
     }
@@ -240,38 +284,53 @@
 }
 
 // Simulates a watch, which returns at once when there are changes, and a probe.
+// In a new era the history is lost, and the whole table is read.
 void GatewayWorld::ReadChanges(size_t host, WatchedKind kind) {
   GatewayTables& tables = m_hosts[host].m_tables;
+  if (!StoreEraSystem::OnResult(tables, StoreOutcome::kDone, m_era,
+                                ReadNow())) {
+    return;
+  }
   WatchProgress& progress = tables.m_progress[kind];
+  const bool complete = progress.m_loaded && !tables.IsLoaded(kind);
+  const uint64_t after =
+      complete ? 0 : NumberOfVersion(progress.m_applied_version);
   const std::array<std::string, kWatchedKinds> table_names = {
       m_decoder.OperatorTable(), m_decoder.ServerTable(), kClusterTable};
-  RowsResult result{StoreOutcome::kDone, {}, std::max<uint64_t>(1, m_version)};
+  RowsResult result{StoreOutcome::kDone,
+                    {},
+                    MakeStoreVersion(m_era, std::max<uint64_t>(1, m_version)),
+                    m_era};
   for (const auto& [key, value] : m_rows) {
-    if (key.first == table_names[kind] &&
-        value.m_version > progress.m_applied_version) {
-      result.m_rows.push_back(
-          {key.second, value.m_value, value.m_version, value.m_removed});
+    if (key.first == table_names[kind] && value.m_version > after &&
+        !(complete && value.m_removed)) {
+      result.m_rows.push_back({key.second, value.m_value,
+                               MakeStoreVersion(m_era, value.m_version),
+                               value.m_removed});
     }
   }
   m_watch_reads += result.m_rows.empty() ? 0 : 1;
   progress.m_last_read_sent_at = ReadNow().m_boot;
-  RelaySystem::OnRead(tables, kind, progress.m_last_change_version, result,
-                      ReadNow());
-  ApplyRows(host, kind, result);
+  if (!complete) {
+    RelaySystem::OnRead(tables, kind, progress.m_last_change_version, result,
+                        ReadNow());
+  }
+  ApplyRows(host, kind, result, complete);
 }
 
 void GatewayWorld::ApplyRows(size_t host,
                              WatchedKind kind,
-                             const RowsResult& result) {
+                             const RowsResult& result,
+                             bool complete) {
   GatewayTables& tables = m_hosts[host].m_tables;
-  if (!result.m_rows.empty()) {
+  if (complete || !result.m_rows.empty()) {
     using ApplyFunction = decltype(&DirectorySystem::ApplyOperatorRows);
     constexpr std::array<ApplyFunction, kWatchedKinds> kApply = {
         &DirectorySystem::ApplyOperatorRows, &DirectorySystem::ApplyServerRows,
         &DirectorySystem::ApplyClusterRows};
-    (m_directory.*kApply.at(kind))(tables, result.m_rows, false, ReadNow());
+    (m_directory.*kApply.at(kind))(tables, result.m_rows, complete, ReadNow());
   }
-  tables.m_progress[kind].RecordAppliedRows(result, false);
+  tables.m_progress[kind].RecordAppliedRows(result, complete);
 }
 
 // A result is dropped if the requesting process has ended.
@@ -433,53 +492,84 @@
   RowsResult result;
   if (ReachesStore(host)) {
     result.m_outcome = StoreOutcome::kDone;
-    const auto row = m_rows.find({command.m_table, command.m_key});
-    if (row != m_rows.end() && !row->second.m_removed) {
-      result.m_rows.push_back(
-          {command.m_key, row->second.m_value, row->second.m_version});
+    result.m_era = m_era;
+    for (const auto& [key, value] : m_rows) {
+      if (key.first == command.m_table && !value.m_removed &&
+          (command.m_key.empty() || command.m_key == key.second)) {
+        result.m_rows.push_back({key.second, value.m_value,
+                                 MakeStoreVersion(m_era, value.m_version)});
+      }
     }
   }
   Schedule(host, kStoreDelay, [this, host, command, result] {
     GatewayTables& tables = m_hosts[host].m_tables;
+    const bool accepted = StoreEraSystem::OnResult(tables, result.m_outcome,
+                                                   result.m_era, ReadNow());
+    if (command.m_era && *command.m_era != tables.GetEra()) {
+      return;
+    }
     if (command.m_table == kLeaderLeaseTable) {
-      LeadershipSystem::OnRead(tables, result, ReadNow());
+      LeadershipSystem::OnRead(tables, accepted ? result : RowsResult(),
+                               ReadNow());
     } else {
-      OwnersSystem::OnRead(tables, kService, result, ReadNow());
+      OwnersSystem::OnRead(tables, kService, accepted ? result : RowsResult(),
+                           ReadNow());
     }
   });
 }
 
+WriteResult GatewayWorld::ApplyWrite(const RowWrite& write) {
+  const auto row = m_rows.find({write.m_table, write.m_key});
+  const bool missing = row == m_rows.end() || row->second.m_removed;
+  const uint64_t version = missing ? 0 : row->second.m_version;
+  if (version != NumberOfVersion(write.m_expected_version)) {
+    return {StoreOutcome::kVersionMismatch, 0, m_era};
+  }
+  PutRow(write.m_table, write.m_key, write.m_value.value_or(""),
+         !write.m_value);
+  return CheckEra(
+      write, {StoreOutcome::kDone, MakeStoreVersion(m_era, m_version), m_era});
+}
+
 void GatewayWorld::Execute(size_t host, const WriteRowCommand& command) {
   ++m_row_calls;
   const RowWrite& write = command.m_write;
   WriteResult result;
-  if (ReachesStore(host)) {
-    const auto row = m_rows.find({write.m_table, write.m_key});
-    const bool missing = row == m_rows.end() || row->second.m_removed;
-    const uint64_t version = missing ? 0 : row->second.m_version;
-    result.m_outcome = version == write.m_expected_version
-                           ? StoreOutcome::kDone
-                           : StoreOutcome::kVersionMismatch;
-    if (result.m_outcome == StoreOutcome::kDone) {
-      PutRow(write.m_table, write.m_key, write.m_value.value_or(""),
-             !write.m_value);
-      result.m_version = m_version;
-    }
+  if (ReachesStore(host) && m_late_write_rate > 0 &&
+      Chance(m_late_write_rate)) {
+    result.m_outcome = StoreOutcome::kUnknown;
+    m_scheduled.emplace(m_now + m_late_write_delay,
+                        [this, write] { ApplyWrite(write); });
+  } else if (ReachesStore(host)) {
+    result = ApplyWrite(write);
     std::uniform_real_distribution<double> chance(0, 1);
     if (chance(m_random) < m_lost_response_rate) {
-      result.m_outcome = StoreOutcome::kUnknown;
+      result = {StoreOutcome::kUnknown};
     }
   }
-  Schedule(host, kStoreDelay, [this, host, write, result] {
-    GatewayTables& tables = m_hosts[host].m_tables;
-    if (write.m_table == kLeaderLeaseTable) {
-      LeadershipSystem::OnWritten(tables, result, ReadNow());
-    } else if (write.m_key.starts_with(kOwnersPrefix)) {
-      OwnersSystem::OnWritten(tables, kService, result, ReadNow());
-    } else {
-      MemberSystem::OnMemberWritten(tables, write, result, ReadNow());
-    }
-  });
+  Schedule(host, kStoreDelay,
+           [this, host, write, result] { OnWriteResult(host, write, result); });
+}
+
+void GatewayWorld::OnWriteResult(size_t host,
+                                 const RowWrite& write,
+                                 WriteResult result) {
+  GatewayTables& tables = m_hosts[host].m_tables;
+  if (!StoreEraSystem::OnResult(tables, result.m_outcome, result.m_era,
+                                ReadNow())) {
+    result = {StoreOutcome::kUnknown};
+  }
+  const EraKey key = DecodeEraKey(write.m_key);
+  if (key.m_era != tables.GetEra()) {
+    return;
+  }
+  if (write.m_table == kLeaderLeaseTable) {
+    LeadershipSystem::OnWritten(tables, result, ReadNow());
+  } else if (key.m_key.starts_with(kOwnersPrefix)) {
+    OwnersSystem::OnWritten(tables, kService, result, ReadNow());
+  } else {
+    MemberSystem::OnMemberWritten(tables, write, result, ReadNow());
+  }
 }
 
 void GatewayWorld::Execute(size_t host, const SendDatagramCommand& command) {
@@ -511,7 +601,7 @@
     }
     if (const auto rows =
             RelaySystem::OnRelayedRows(tables, std::move(rows_here), now)) {
-      ApplyRows(host, static_cast<WatchedKind>(relayed->m_kind), *rows);
+      ApplyRows(host, static_cast<WatchedKind>(relayed->m_kind), *rows, false);
     }
   } else if (const auto* announcement =
                  std::get_if<LeaderAnnouncement>(&message)) {
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -79,6 +79,9 @@
   bool m_isolated = false;
   uint64_t m_incarnation = 0;
 
+  /// Version of the newest configuration that the process has had.
+  uint64_t m_configuration = 0;
+
   /// Datagrams to and from this host take this much longer.
   Duration m_datagram_delay{};
 
@@ -124,6 +127,14 @@
   /// Sets the rate of the clients' requests at a host, per second.
   void SetClientRate(size_t host, double rate);
 
+  /// Takes a copy of the store. The store comes back from the last copy in the
+  /// next era; versions are given out again from the copy's on.
+  void TakeCopy();
+  void RestoreCopy();
+
+  /// Operators and servers write their rows as they are now.
+  void WriteRowsAgain();
+
   /// Returns the index of the leader, or the number of hosts if there is none.
   size_t Leader() const;
 
@@ -141,6 +152,11 @@
   /// Fraction of the writes that take effect but whose response is lost.
   double m_lost_response_rate = 0;
 
+  /// Fraction of the writes that time out and still reach the store after the
+  /// delay.
+  double m_late_write_rate = 0;
+  Duration m_late_write_delay = std::chrono::seconds(1);
+
   /// Fraction of the grant calls that time out and still take effect after the
   /// delay.
   double m_late_grant_rate = 0;
@@ -175,6 +191,12 @@
   /// had the key.
   size_t m_overlapping_grants = 0;
 
+  /// Steps in which a host had an older configuration than before.
+  size_t m_older_configurations = 0;
+
+  /// Steps in which two hosts might act as the leader.
+  size_t m_double_leaders = 0;
+
   /// Limit on the clients' requests in place of their workspace's; unset for
   /// that.
   std::optional<RoutedWorkspace> m_client_limit;
@@ -196,7 +218,10 @@
   void SendReportIfDue(size_t host);
   void DeliverWatches(size_t host);
   void ReadChanges(size_t host, WatchedKind kind);
-  void ApplyRows(size_t host, WatchedKind kind, const RowsResult& result);
+  void ApplyRows(size_t host,
+                 WatchedKind kind,
+                 const RowsResult& result,
+                 bool complete);
   void ExecuteCommand(size_t host, const ControlCommand& command);
   void Execute(size_t host, const GrantCommand& command);
   void Execute(size_t host, const ReleaseCommand& command);
@@ -205,6 +230,9 @@
   void Execute(size_t host, const ReadRowCommand& command);
   void Execute(size_t host, const WriteRowCommand& command);
   void Execute(size_t host, const SendDatagramCommand& command);
+  WriteResult ApplyWrite(const RowWrite& write);
+  void OnWriteResult(size_t host, const RowWrite& write, WriteResult result);
+  void CheckHosts();
   void Receive(size_t host, const ClusterMessage& message);
   ServerCallOutcome FindOutcome(size_t host,
                                 size_t server,
@@ -236,7 +264,12 @@
   };
   std::array<HighestFence, kSampledKeys> m_highest_fences{};
   uint64_t m_version = 0;
+  uint64_t m_era = 0;
+  std::map<std::pair<std::string, std::string>, StoredValue> m_copied_rows;
+  uint64_t m_copied_version = 0;
   uint64_t m_config_version = 0;
+  std::string m_config;
+  std::set<std::string> m_evacuated;
   std::multimap<TimePoint, std::function<void()>> m_scheduled;
   std::minstd_rand m_random;
 };
