--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -89,6 +89,9 @@
   bool m_isolated = false;
   uint64_t m_incarnation = 0;
 
+  /// Version of the newest configuration that the process has had.
+  uint64_t m_configuration = 0;
+
   /// Datagrams to and from this host take this much longer.
   Duration m_datagram_delay{};
 
@@ -137,6 +140,13 @@
   /// Sets the rate of the clients' requests at a host, per second.
   void SetClientRate(size_t host, double rate);
 
+  /// Takes a copy of the store. The store comes back from the last copy in the
+  /// next era; versions are given out again from the copy's on.
+  void TakeCopy();
+  void RestoreCopy();
+
+  /// Operators and servers write their rows as they are now.
+  void WriteRowsAgain();
   /// Writes an order of a rollout, or removes it, and returns what the gateways
   /// report of it: "running VERSION", for example.
   void OrderRollout(const std::string& service,
@@ -165,6 +175,11 @@
   /// Fraction of the writes that take effect but whose response is lost.
   double m_lost_response_rate = 0;
 
+  /// Fraction of the writes that time out and still reach the store after the
+  /// delay.
+  double m_late_write_rate = 0;
+  Duration m_late_write_delay = std::chrono::seconds(1);
+
   /// Fraction of the grant calls that time out and still take effect after the
   /// delay.
   double m_late_grant_rate = 0;
@@ -199,6 +214,13 @@
   /// had the key.
   size_t m_overlapping_grants = 0;
 
+  /// Steps in which a host had an older configuration than before.
+  size_t m_older_configurations = 0;
+
+  /// Steps in which two hosts might act as the leader. One that has sent the
+  /// release of its lease does not count: it acts until it has the response.
+  size_t m_double_leaders = 0;
+
   /// Limit on the clients' requests in place of their workspace's; unset for
   /// that.
   std::optional<RoutedWorkspace> m_client_limit;
@@ -220,7 +242,10 @@
   void SendReportIfDue(size_t host);
   void DeliverWatches(size_t host);
   void ReadChanges(size_t host, WatchedKind kind);
-  void ApplyRows(size_t host, WatchedKind kind, const RowsResult& result);
+  void ApplyRows(size_t host,
+                 WatchedKind kind,
+                 const RowsResult& result,
+                 bool complete);
   void ExecuteCommand(size_t host, const ControlCommand& command);
   void Execute(size_t host, const GrantCommand& command);
   void Execute(size_t host, const ReleaseCommand& command);
@@ -231,7 +256,10 @@
   void Execute(size_t host, const WriteRolloutStatusCommand& command);
   void Execute(size_t host, const SendDatagramCommand& command);
   void RunRolloutTraffic(size_t host);
-  WriteResult ApplyWrite(size_t host, const RowWrite& write);
+  WriteResult ApplyWrite(const RowWrite& write);
+  WriteResult SendWrite(size_t host, const RowWrite& write);
+  void OnWriteResult(size_t host, const RowWrite& write, WriteResult result);
+  void CheckHosts();
   void Receive(size_t host, const ClusterMessage& message);
   ServerCallOutcome FindOutcome(size_t host,
                                 size_t server,
@@ -263,7 +291,12 @@
   };
   std::array<HighestFence, kSampledKeys> m_highest_fences{};
   uint64_t m_version = 0;
+  uint64_t m_era = 0;
+  std::map<std::pair<std::string, std::string>, StoredValue> m_copied_rows;
+  uint64_t m_copied_version = 0;
   uint64_t m_config_version = 0;
+  std::string m_config;
+  std::set<std::string> m_evacuated;
   std::multimap<TimePoint, std::function<void()>> m_scheduled;
   std::minstd_rand m_random;
 };
