--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -435,10 +435,10 @@
   }
   const ServiceEndpoints* endpoints =
       context.m_snapshot->FindEndpoints(context.m_service);
-  return endpoints && std::ranges::any_of(endpoints->m_groups,
-                                          [](const ServerGroup& group) {
-                                            return group.m_slots > 0;
-                                          });
+  return endpoints &&
+         std::ranges::any_of(endpoints->m_groups, [](const ServerGroup& group) {
+           return group.m_slots > 0;
+         });
 }
 
 const RoutedServer* RequestHandler::FindTarget(RequestContext& context) {
