--- a/src/gateway/gateway_tick.cc
+++ b/src/gateway/gateway_tick.cc
@@ -8,6 +8,7 @@
 #include "gateway/range_grant_system.h"
 #include "gateway/range_placement_system.h"
 #include "gateway/rollout_system.h"
+#include "gateway/store_era_system.h"
 
 namespace foxtail {
 
@@ -38,6 +39,8 @@
   MemberSystem::Run(tables, now);
   // 8. Log what became of moves and calls to servers.
   GrantLogSystem::Run(tables, now);
+  // 9. At the leader: remove rows of older eras of the store.
+  StoreEraSystem::Run(tables, now);
 }
 
 }  // namespace foxtail
--- a/src/gateway/rollout_system.cc
+++ b/src/gateway/rollout_system.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 #include "core/error.h"
@@ -31,8 +32,13 @@
   return tables.m_rollouts.Get(tables.m_rollouts.Insert(std::move(row)));
 }
 
-std::string KeyOf(const RolloutRow& row) {
-  return kRolloutRecordPrefix + row.m_service;
+std::string KeyOf(const GatewayTables& tables, const RolloutRow& row) {
+  return EncodeEraKey({tables.GetEra(), kRolloutRecordPrefix + row.m_service});
+}
+
+// Records are ordered by their orders first.
+bool IsOlder(const RolloutRecord& a, const RolloutRecord& b) {
+  return std::tie(a.m_order, a.m_step) < std::tie(b.m_order, b.m_step);
 }
 
 bool IsSharded(const GatewayTables& tables, const std::string& service) {
@@ -147,7 +153,7 @@
   }
   row.m_write_in_flight = true;
   tables.m_outbox.emplace_back(
-      WriteRowCommand{{kClusterTable, KeyOf(row), row.m_record_version,
+      WriteRowCommand{{kClusterTable, KeyOf(tables, row), row.m_record_version,
                        EncodeRecord(*row.m_next_record)}});
 }
 
@@ -394,8 +400,8 @@
 
 void RolloutSystem::Run(GatewayTables& tables, const Now& now) {
   UpdatePause(tables, now);
-  if (!tables.IsLeading(now) || !tables.m_progress[kClusterRows].m_loaded ||
-      !tables.m_progress[kOperatorRows].m_loaded) {
+  if (!tables.IsLeading(now) || !tables.IsLoaded(kClusterRows) ||
+      !tables.IsLoaded(kOperatorRows)) {
     return;
   }
   const uint64_t epoch = tables.m_leader_lease.m_record.m_epoch;
@@ -435,17 +441,23 @@
 
 void RolloutSystem::ApplyRecord(GatewayTables& tables,
                                 const StoredRow& stored,
+                                const EraKey& key,
                                 const Now& now) {
+  const bool is_of_era = key.m_era == tables.GetEra();
+  if (stored.m_removed && !is_of_era) {
+    return;  // the leader removes the rows of older eras
+  }
   RolloutRow& row = GetOrInsertRow(
-      tables,
-      stored.m_key.substr(std::string_view(kRolloutRecordPrefix).size()));
+      tables, key.m_key.substr(std::string_view(kRolloutRecordPrefix).size()));
   tables.m_snapshot_due = true;
   if (stored.m_removed) {
-    row.m_record_version = 0;
+    row.m_record_version = tables.GetMissingRowVersion();
     row.m_record_stored = false;
     return;
   }
-  row.m_record_version = stored.m_version;
+  if (is_of_era) {
+    row.m_record_version = stored.m_version;
+  }
   RolloutRecord record;
   try {
     record = DecodeRolloutRecord(stored.m_value);
@@ -453,22 +465,47 @@
     LogUnreadableRow(tables, kClusterTable, stored.m_key, failure.GetDetail());
     return;
   }
-  // The row may have been written before a rollback that is not stored yet.
-  if (row.m_record && row.m_record->m_order == record.m_order &&
-      row.m_record->m_step > record.m_step) {
+  if (!is_of_era) {
+    // The leader writes the newest record that it knows in the present era.
+    if (!row.m_record || IsOlder(*row.m_record, record)) {
+      row.m_record = std::move(record);
+    }
+    row.m_record_stored =
+        row.m_record_stored && NumberOfVersion(row.m_record_version) != 0;
+    return;
+  }
+  // The row may have been written before a rollback that is not stored yet, or
+  // by a leader of this era that did not know the newest record of the last.
+  if (row.m_record && IsOlder(record, *row.m_record) &&
+      (record.m_order == row.m_record->m_order ||
+       tables.m_store_era.m_changed)) {
     row.m_record_stored = false;
     return;
   }
   OnStored(tables, row, std::move(record), now);
 }
 
+// What was written since the copy is lost, the state for the operators as well.
+void RolloutSystem::OnEraChanged(GatewayTables& tables) {
+  tables.m_rollouts.ForEach([&tables](RolloutId, RolloutRow& row) {
+    row.m_record_version = tables.GetMissingRowVersion();
+    row.m_record_stored = false;
+    row.m_write_in_flight = false;
+    row.m_next_write_at = TimePoint();
+    row.m_reported_state.reset();
+    row.m_status_version = 0;
+    row.m_status_in_flight = false;
+    row.m_next_status_at = TimePoint();
+  });
+}
+
 void RolloutSystem::OnRecordWritten(GatewayTables& tables,
                                     const RowWrite& write,
                                     const WriteResult& result,
                                     const Now& now) {
   RolloutRow* row = FindRow(
-      tables,
-      write.m_key.substr(std::string_view(kRolloutRecordPrefix).size()));
+      tables, DecodeEraKey(write.m_key)
+                  .m_key.substr(std::string_view(kRolloutRecordPrefix).size()));
   if (!row) {
     return;
   }
--- a/src/gateway/rollout_system.h
+++ b/src/gateway/rollout_system.h
@@ -21,11 +21,15 @@
                          bool as_change,
                          const Now& now);
 
-  /// Applies a record of the store.
+  /// Applies a record of the store. `key` is the key of its row.
   static void ApplyRecord(GatewayTables& tables,
                           const StoredRow& stored,
+                          const EraKey& key,
                           const Now& now);
 
+  /// The store has entered another era: the records are written again.
+  static void OnEraChanged(GatewayTables& tables);
+
   /// Handles the result of writing a record.
   static void OnRecordWritten(GatewayTables& tables,
                               const RowWrite& write,
--- a/tests/integration/gateway_test.cc
+++ b/tests/integration/gateway_test.cc
@@ -255,6 +255,37 @@
   EXPECT_NE(Send("k-2").m_status, 401);
 }
 
+// All reads counted as older than the rows known until the store had given out
+// as many versions again as it had lost, so the gateway served no requests.
+TEST_F(GatewayTest, WithdrawnKeyStaysWithdrawnWhenTheStoreLosesWrites) {
+  constexpr int kLostWrites = 300;
+  const auto await_status = [this](const std::string& key, int status) {
+    const TimePoint until = Clock::now() + kTimeout;
+    while (Send(key).m_status != status && Clock::now() < until) {
+      boost::this_fiber::sleep_for(kPollInterval);
+    }
+    return Send(key).m_status == status;
+  };
+  WriteDirectory();
+  ASSERT_TRUE(AwaitReady(200));
+  Post(m_store_port, "/faults", R"({"take_copy":true})");
+  WriteConfiguration(4, "k-2");
+  ASSERT_TRUE(await_status("k", 401));
+  for (int i = 0; i < kLostWrites; ++i) {
+    Write("other", "row-" + std::to_string(i), "value");
+  }
+  boost::this_fiber::sleep_for(seconds(1));  // the gateway reads that version
+  Post(m_store_port, "/faults", R"({"restore_copy":true})");
+  // Longer than the lifetime of what has been read: later reads must succeed.
+  boost::this_fiber::sleep_for(seconds(6));
+  EXPECT_EQ(ReadyStatus(), 200);
+  EXPECT_EQ(Send("k").m_status, 401);
+  EXPECT_TRUE(await_status("k-2", 200));
+  WriteConfiguration(5, "k-3");
+  EXPECT_TRUE(await_status("k-3", 200));
+  EXPECT_EQ(Send("k-2").m_status, 401);
+}
+
 // SIGHUP ended a process that was stopping, and so did a second SIGTERM: the
 // requests that it had passed on were never answered.
 TEST_F(GatewayTest, SignalsDuringAStopEndNoRequest) {
