A leader stops acting when it sends the release of its lease

A leader that released its lease (shutdown, resignation) kept its authority until it had the response of the write. The next leader acquires a released lease at once. A shorter timeout of the write was ruled out, as the release may take effect before any response. The authority now ends when the release is sent and does not come back by a read or the late response. The fake world had excepted releasing leaders from its check of two leaders; it counts them now, and a second test covers a release that reaches the store late.

--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -281,7 +281,8 @@
   LeaderLeaseRecord m_pending_record;
   BootTime m_pending_sent_at;
 
-  /// The leader must not act from this time on.
+  /// The leader must not act from this time on. Not set from the sending of a
+  /// release on.
   BootTime m_authority_until;
 
   /// The leader cannot reach most servers and is releasing its lease.
--- a/src/gateway/leadership_system.cc
+++ b/src/gateway/leadership_system.cc
@@ -287,6 +287,11 @@
   LeaderLeaseRecord record = lease.m_record;
   ++record.m_renewals;
   record.m_released = tables.m_shutting_down || lease.m_resigning;
+  if (record.m_released) {
+    // The next leader may acquire the lease before the response arrives here,
+    // if it ever does.
+    lease.m_authority_until = {};
+  }
   WriteLease(tables, std::move(record), now);
 }
 
@@ -294,14 +299,16 @@
   LeaderLeaseState& lease = tables.m_leader_lease;
   const OwnershipSettings& settings = tables.m_settings;
   lease.m_write_outcome_unknown = false;
-  lease.m_authority_until = lease.m_pending_sent_at +
-                            settings.m_leader_lease_ttl -
-                            settings.m_leader_lease_margin;
   lease.m_next_store_call_at =
       now.m_steady + settings.m_leader_lease_renew_period;
   if (lease.m_pending_record.m_released) {
     StopLeading(tables, EventNumber::kControlLeaseReleased, now);
-  } else if (lease.m_phase == LeaderLeasePhase::kAcquiring) {
+    return;
+  }
+  lease.m_authority_until = lease.m_pending_sent_at +
+                            settings.m_leader_lease_ttl -
+                            settings.m_leader_lease_margin;
+  if (lease.m_phase == LeaderLeasePhase::kAcquiring) {
     StartLeading(tables, now);
   }
 }
--- a/src/standins/platform_standin.cc
+++ b/src/standins/platform_standin.cc
@@ -16,7 +16,7 @@
 constexpr int kStatusPreconditionFailed = 412;
 constexpr int kStatusUnavailable = 503;
 constexpr int kHexBase = 16;
-constexpr const char* kEraHeader = "X-Foxtailcart-Store-Era";
+constexpr const char* kEraHeader = "Store-Era";
 
 HttpResponse JsonResponse(int status, const Json::Value& body) {
   HttpResponse response;
--- a/tests/gateway/ownership_test.cc
+++ b/tests/gateway/ownership_test.cc
@@ -277,6 +277,49 @@
   EXPECT_EQ(world.CountGrantedKeys(), kSampledKeys);
 }
 
+// The next leader acquires a released lease at once. If the response to the
+// release was lost, the one before acted beside it until it read the lease.
+TEST(GatewayOwnershipTest, LeaderStopsActingWhenItSendsTheRelease) {
+  GatewayWorld world(3, 6);
+  world.Run(seconds(3));
+  const size_t leader = world.Leader();
+  FakeHost& host = world.m_hosts[leader];
+  host.m_tables.m_shutting_down = true;
+  world.m_lost_response_rate = 1;
+  while (!host.m_tables.m_leader_lease.m_pending_record.m_released) {
+    world.Run(milliseconds(10));
+  }
+  world.m_lost_response_rate = 0;
+  host.m_store_unreachable = true;
+  world.Run(seconds(5));
+  EXPECT_NE(world.Leader(), leader);
+  EXPECT_LT(world.Leader(), world.m_hosts.size());
+  EXPECT_EQ(world.m_double_leaders, 0U);
+  EXPECT_EQ(world.CountGrantedKeys(), kSampledKeys);
+}
+
+// A release that reaches the store late takes effect after the leader has read
+// its lease as not released.
+TEST(GatewayOwnershipTest, LeaderDoesNotActAgainAfterALateRelease) {
+  GatewayWorld world(3, 6);
+  world.Run(seconds(3));
+  const size_t leader = world.Leader();
+  GatewayTables& tables = world.m_hosts[leader].m_tables;
+  tables.m_leader_lease.m_resigning = true;
+  world.m_late_write_rate = 1;
+  world.m_late_write_delay = milliseconds(800);
+  while (!tables.m_leader_lease.m_pending_record.m_released) {
+    world.Run(milliseconds(10));
+  }
+  world.m_late_write_rate = 0;
+  for (int i = 0; i < 300; ++i) {
+    world.Run(milliseconds(10));
+    ASSERT_NE(world.Leader(), leader) << i;
+  }
+  EXPECT_LT(world.Leader(), world.m_hosts.size());
+  EXPECT_EQ(world.m_double_leaders, 0U);
+}
+
 TEST(GatewayOwnershipTest, OwnershipRecoversAfterAllHostsCrash) {
   GatewayWorld world(5, 6);
   world.Run(seconds(3));
--- a/tests/support/gateway_world.cc
+++ b/tests/support/gateway_world.cc
@@ -266,8 +266,7 @@
   size_t leaders = 0;
   for (FakeHost& host : m_hosts) {
     const GatewayTables& tables = host.m_tables;
-    const bool releasing = tables.m_leader_lease.m_pending_record.m_released;
-    leaders += host.m_up && !releasing && tables.IsLeading(ReadNow()) ? 1 : 0;
+    leaders += host.m_up && tables.IsLeading(ReadNow()) ? 1 : 0;
     const uint64_t version =
         tables.m_routes ? tables.m_routes->GetConfig().m_version : 0;
     m_older_configurations += version < host.m_configuration ? 1 : 0;
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -147,6 +147,7 @@
 
   /// Operators and servers write their rows as they are now.
   void WriteRowsAgain();
+
   /// Writes an order of a rollout, or removes it, and returns what the gateways
   /// report of it: "running VERSION", for example.
   void OrderRollout(const std::string& service,
@@ -217,8 +218,7 @@
   /// Steps in which a host had an older configuration than before.
   size_t m_older_configurations = 0;
 
-  /// Steps in which two hosts might act as the leader. One that has sent the
-  /// release of its lease does not count: it acts until it has the response.
+  /// Steps in which two hosts might act as the leader.
   size_t m_double_leaders = 0;
 
   /// Limit on the clients' requests in place of their workspace's; unset for
