Servers that refuse with a free slot, and owners of keys, stay open

Ruled out: a faster recovery of the window, with which a server that others use half of failed more than a quarter of its requests (FullServerReplayTest). A refusal with a load report that shows a free slot does not lower the window or close the server; the owner of a key, which no other server replaces, is closed for 250 ms at most. The new test failed before: the second permit was not granted.

--- a/src/scheduling/permit_grant_system.cc
+++ b/src/scheduling/permit_grant_system.cc
@@ -103,6 +103,7 @@
   permit.m_server = server_id;
   permit.m_server_name = server.m_entry.m_id;
   permit.m_priority = waiting.m_key.m_priority;
+  permit.m_of_owner = !waiting.m_request.m_server.empty();
   permit.m_granted_at = now;
   permit.m_deadline = waiting.m_deadline;
   permit.m_in_use = ServerWindow(tables, server, now).InUse() + 1;
--- a/src/scheduling/permit_tables.h
+++ b/src/scheduling/permit_tables.h
@@ -161,6 +161,9 @@
   ScheduledServerId m_server;
   std::string m_server_name;
   uint32_t m_priority = 0;
+
+  /// The request can run at this server only.
+  bool m_of_owner = false;
   TimePoint m_granted_at;
   TimePoint m_deadline;
 
--- a/src/scheduling/server_feedback.cc
+++ b/src/scheduling/server_feedback.cc
@@ -27,6 +27,10 @@
 constexpr std::chrono::milliseconds kMaxPause{5000};
 constexpr uint32_t kMaxDoublings = 8;
 
+// The same for the owner of a key: no other server can run its requests, and a
+// part of them may succeed.
+constexpr std::chrono::milliseconds kMaxOwnerPause{250};
+
 // Pause after a refusal if the time of a request is not known.
 constexpr std::chrono::milliseconds kDefaultRefusalPause{50};
 
@@ -130,11 +134,16 @@
   server.m_errors.Add(true, m_now);
 }
 
+// A server that refuses although it reports a free slot fails a part of its
+// requests whatever their number: fewer of them would only idle its slots.
 void ServerFeedback::OnRefused(ScheduledServerRow& server,
-                               const PermitRow& /*permit*/,
-                               const PermitReturn& /*returned*/) {
+                               const PermitRow& permit,
+                               const PermitReturn& returned) {
   server.m_failures = 0;
   server.m_errors.Add(true, m_now);
+  if (returned.m_load && HasFreeSlot(server, *returned.m_load)) {
+    return;
+  }
   LowerLimit(server);
   // A slot is free after about the time of a request divided by the slots.
   const double seconds = ExpectedSeconds(m_tables, server, m_now) /
@@ -142,7 +151,7 @@
   const Duration pause =
       seconds > 0 ? FromSeconds(seconds) : Duration(kDefaultRefusalPause);
   CloseFor(server,
-           std::min<Duration>(kMaxPause,
+           std::min<Duration>(MaxPause(permit),
                               pause * (1U << std::min(server.m_refusals, 5U))));
   ++server.m_refusals;
 }
@@ -167,13 +176,13 @@
 }
 
 void ServerFeedback::OnUnreachable(ScheduledServerRow& server,
-                                   const PermitRow& /*permit*/,
+                                   const PermitRow& permit,
                                    const PermitReturn& /*returned*/) {
   const uint32_t doublings = std::min(server.m_failures, kMaxDoublings);
   ++server.m_failures;
   server.m_errors.Add(true, m_now);
-  CloseFor(server,
-           std::min<Duration>(kMaxPause, kFirstPause * (1U << doublings)));
+  CloseFor(server, std::min<Duration>(MaxPause(permit),
+                                      kFirstPause * (1U << doublings)));
 }
 
 void ServerFeedback::ApplyLoad(ScheduledServerRow& server,
@@ -190,6 +199,16 @@
   }
 }
 
+Duration ServerFeedback::MaxPause(const PermitRow& permit) {
+  return permit.m_of_owner ? kMaxOwnerPause : kMaxPause;
+}
+
+bool ServerFeedback::HasFreeSlot(const ScheduledServerRow& server,
+                                 const LoadReport& load) {
+  return load.m_waiting == 0 &&
+         load.m_running < std::max(1U, server.m_entry.m_slots);
+}
+
 void ServerFeedback::LowerLimit(ScheduledServerRow& server) {
   const double limit = server.m_limit > 0
                            ? server.m_limit
--- a/src/scheduling/server_feedback.h
+++ b/src/scheduling/server_feedback.h
@@ -46,6 +46,9 @@
                     const PermitReturn& returned);
 
   void ApplyLoad(ScheduledServerRow& server, const LoadReport& load);
+  static Duration MaxPause(const PermitRow& permit);
+  static bool HasFreeSlot(const ScheduledServerRow& server,
+                          const LoadReport& load);
   void LowerLimit(ScheduledServerRow& server);
   void CloseFor(ScheduledServerRow& server, Duration pause);
   void KeepUnanswered(ScheduledServerRow& server, PermitId id);
--- a/tests/scheduling/permit_scheduler_test.cc
+++ b/tests/scheduling/permit_scheduler_test.cc
@@ -280,6 +280,26 @@
   EXPECT_EQ(AskState(2), PermitState::kQueued);
 }
 
+// When 200 servers refused a part of their requests for eight seconds, though
+// their slots were free, they were closed for most of that time and beyond.
+TEST_F(PermitSchedulerTest, RefusalsOfAServerWithAFreeSlotDoNotCloseIt) {
+  SetServers({"a"}, 2);
+  for (PermitTicket ticket = 1; ticket <= 20; ++ticket) {
+    ASSERT_EQ(AskState(ticket, "a"), PermitState::kGranted) << ticket;
+    PermitRequests message = MakeMessage();
+    message.m_returns.push_back({ticket, PermitEnd::kRefused, milliseconds(1),
+                                 LoadReport{0, 0, 2, {}}});
+    Deliver(message);
+  }
+  // A full server is not asked again at once.
+  ASSERT_EQ(AskState(21, "a"), PermitState::kGranted);
+  PermitRequests message = MakeMessage();
+  message.m_returns.push_back(
+      {21, PermitEnd::kRefused, milliseconds(1), LoadReport{2, 8, 2, {}}, {}, false});
+  Deliver(message);
+  EXPECT_EQ(AskState(22, "a"), PermitState::kQueued);
+}
+
 TEST_F(PermitSchedulerTest, HopelessRequestsAreRefusedAtOnce) {
   Measure();
   PermitRequest hopeless = MakeRequest(1);
