Tests of held and replaced registrations across eras

The merge of the eras keeps a row of the copy out if its incarnation was replaced here, and leaves a held registration held. Both tests fail with these rules taken out of IsPastServer and RememberGoneServer (a server got keys by a replaced incarnation; a held registration was dropped with the copy) and pass with them.

--- a/tests/gateway/store_era_test.cc
+++ b/tests/gateway/store_era_test.cc
@@ -163,6 +163,63 @@
   EXPECT_EQ(world.CountGrantedKeys(), kSampledKeys);
 }
 
+// Incarnations of a server whose clock has stepped back do not grow, so the
+// copy's is higher than the one in force.
+TEST(StoreEraTest, ReplacedIncarnationOfTheCopyStaysOut) {
+  for (const seconds until_restored : {seconds(4), seconds(40)}) {
+    GatewayWorld world(3, 6);
+    world.m_servers[0].m_incarnation = 9;
+    world.RegisterServer(0);
+    world.Run(seconds(3));
+    world.TakeCopy();
+    world.m_servers[0].m_incarnation = 5;
+    world.RegisterServer(0);
+    world.Run(seconds(4));
+    EXPECT_GT(world.CountGrantedKeysOf(0), 0U);
+    world.DeregisterServer(0);
+    world.Run(until_restored);
+    world.RestoreCopy();
+    world.Run(seconds(20));
+    EXPECT_EQ(world.CountGrantedKeysOf(0), 0U);
+    world.RegisterServer(0);
+    world.Run(seconds(6));
+    EXPECT_GT(world.CountGrantedKeysOf(0), 0U);
+    for (FakeHost& host : world.m_hosts) {
+      EXPECT_EQ(FindServer(host.m_tables, world.m_servers[0].m_id)
+                    ->m_entry.m_incarnation,
+                5);
+    }
+  }
+}
+
+// The copy shows a registration that is held. It must not count as one of the
+// past, nor be used before the hold time is over.
+TEST(StoreEraTest, HeldRegistrationStaysHeld) {
+  GatewayWorld world(3, 6);
+  world.m_servers[0].m_incarnation = 9;
+  world.RegisterServer(0);
+  world.Run(seconds(3));
+  world.m_servers[0].m_incarnation = 5;
+  world.RegisterServer(0);
+  world.Run(milliseconds(500));
+  world.TakeCopy();
+  world.Run(milliseconds(500));
+  world.RestoreCopy();
+  const auto expect_incarnation = [&world](int64_t incarnation) {
+    for (FakeHost& host : world.m_hosts) {
+      const ServerRow* server =
+          FindServer(host.m_tables, world.m_servers[0].m_id);
+      EXPECT_EQ(server->m_entry.m_incarnation, incarnation);
+      EXPECT_TRUE(server->m_registered);
+    }
+  };
+  world.Run(seconds(1));
+  expect_incarnation(9);
+  world.Run(seconds(1));
+  expect_incarnation(5);
+  EXPECT_EQ(world.CountGrantedKeys(), kSampledKeys);
+}
+
 // Servers that registered after the copy keep their keys if they register
 // within the grace period of an outage.
 TEST(StoreEraTest, RegistrationMissingInTheCopyHasTheGraceOfAnOutage) {
