Rollouts go on across eras of the store, and states reach operators

In a new era the order of a rollout has another number, and operators write it again. Both looked like another order, so a version that was rolled back or completed was tried again from the first step. The first row of an era with the record's target now repeats the order, as do others within 60 s; the leader records the newest number. Orders of the copy that were replaced or withdrawn stay out for as long. The leader writes its newest record in the new era; members send it a newer one that it does not know. Comparing orders by content alone was ruled out: nobody could order a version again.

Two faults found on the way, in any era: - A conditional write that fails tells the version of the store, not of the row. The fake store told the row's, so the tests passed, but a leader that took over never wrote the state of a rollout, and tried at each response. The leader now reads the row's version first. - A row that repeated a running order started it again once it had ended.

The fake world reads whole tables at the start of a host, as the control thread does. The encoding of rollout records has one more field.

--- a/src/gateway/cluster_codec.cc
+++ b/src/gateway/cluster_codec.cc
@@ -118,7 +118,8 @@
 template <typename Archive>
 void serialize(Archive& archive, RolloutRecord& m) {  // NOLINT
   archive(m.m_service, m.m_target, m.m_order, m.m_state, m.m_step, m.m_share,
-          m.m_ordered_at_ms, m.m_requests, m.m_target_requests, m.m_rejected);
+          m.m_ordered_at_ms, m.m_requests, m.m_target_requests, m.m_last_repeat,
+          m.m_rejected);
 }
 
 // Most classes are empty, so only the others are sent.
--- a/src/gateway/control_thread.cc
+++ b/src/gateway/control_thread.cc
@@ -536,6 +536,16 @@
   }
 }
 
+void ControlThread::Execute(const ReadRolloutStatusCommand& command) {
+  const RowWrite row = m_decoder.EncodeRolloutStatus(command.m_record);
+  RowsResult result = m_store->Read(row.m_table, row.m_key,
+                                    m_settings.m_ownership.m_store_timeout);
+  if (!AcceptEra(result.m_outcome, result.m_era)) {
+    result = RowsResult();
+  }
+  RolloutSystem::OnStatusRead(m_tables, command, result, ReadClocks());
+}
+
 void ControlThread::Execute(const WriteRolloutStatusCommand& command) {
   RowWrite write = m_decoder.EncodeRolloutStatus(command.m_record);
   write.m_expected_version = command.m_expected_version;
--- a/src/gateway/control_thread.h
+++ b/src/gateway/control_thread.h
@@ -129,6 +129,7 @@
   void Execute(const ReleaseCommand& command);
   void Execute(const ReadRowCommand& command);
   void Execute(const WriteRowCommand& command);
+  void Execute(const ReadRolloutStatusCommand& command);
   void Execute(const WriteRolloutStatusCommand& command);
   void Execute(const SendDatagramCommand& command);
   void Wake();
--- a/src/gateway/directory_system.cc
+++ b/src/gateway/directory_system.cc
@@ -367,8 +367,8 @@
   if (state.m_kept_evacuations.empty()) {
     return;
   }
-  if (now.m_steady < state.m_evacuations_kept_until) {
-    tables.WakeAt(state.m_evacuations_kept_until);
+  if (now.m_steady < state.m_operator_rows_kept_until) {
+    tables.WakeAt(state.m_operator_rows_kept_until);
     return;
   }
   state.m_kept_evacuations.clear();
@@ -549,10 +549,16 @@
                     const StoredRow& row,
                     const Now& now) {
   StoreEraSystem::OnOlderRow(tables, now);
+  StoreEraState& era = tables.m_store_era;
   if (row.m_removed) {
-    tables.m_store_era.m_older_rows.erase(row.m_key);
-  } else {
-    tables.m_store_era.m_older_rows[row.m_key] = row.m_version;
+    era.m_older_rows.erase(row.m_key);
+    return;
+  }
+  era.m_older_rows[row.m_key] = row.m_version;
+  // They are removed soon, so the store has come back not long ago.
+  if (era.m_operator_rows_kept_until == TimePoint()) {
+    era.m_operator_rows_kept_until =
+        now.m_steady + tables.m_settings.m_era_operator_grace;
   }
 }
 
@@ -606,7 +612,14 @@
                      failure.GetDetail());
     return;
   }
-  RolloutSystem::ApplyOrder(tables, service, std::move(order), !complete, now);
+  // The first read of a process in an era may show the copy as well.
+  const bool is_first_read =
+      complete && !tables.m_progress[kOperatorRows].m_loaded;
+  OrderReading reading;
+  reading.m_as_change = !complete;
+  reading.m_may_be_of_copy = MayBeOfCopy(tables, kOperatorRows, row) ||
+                             (is_first_read && tables.GetEra() > 0);
+  RolloutSystem::ApplyOrder(tables, service, std::move(order), reading, now);
 }
 
 void DirectorySystem::ApplyOperatorRows(GatewayTables& tables,
@@ -655,9 +668,13 @@
                        OperatorRowKind::kRollout &&
                    subject == rollout.m_service;
           });
-      if (!is_listed) {
-        RolloutSystem::ApplyOrder(tables, rollout.m_service, std::nullopt,
-                                  false, now);
+      // An order that the copy lacks stays in force: operators write it again.
+      const bool is_kept =
+          rollout.m_order &&
+          EraOfVersion(rollout.m_order->m_number) < tables.GetEra();
+      if (!is_listed && !is_kept) {
+        RolloutSystem::ApplyOrder(tables, rollout.m_service, std::nullopt, {},
+                                  now);
       }
     });
   }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -75,11 +75,11 @@
 
   /// After the store has come back from an old copy: time in which members
   /// register again, which they do as soon as they have read the cluster table,
-  /// and time for which evacuations stay as they were unless operators write
-  /// them again. The latter leaves room for a person, and bounds what a lifted
-  /// evacuation that the copy brought back costs.
+  /// and time for which evacuations and orders of rollouts stay as they were
+  /// unless operators write them again. The latter leaves room for a person,
+  /// and bounds what a lifted evacuation that the copy brought back costs.
   Duration m_era_member_grace = std::chrono::seconds(5);
-  Duration m_era_evacuation_grace = std::chrono::seconds(60);
+  Duration m_era_operator_grace = std::chrono::seconds(60);
 
   /// Interval between moves that balance load, so that the effect of one move
   /// is measured before the next.
--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -327,10 +327,10 @@
 
   /// Evacuations as the rows say, and whether a data centre is evacuated in
   /// spite of that, until its row is written in the present era or the time is
-  /// over.
+  /// over, in which operators write their rows again.
   std::set<std::string> m_stored_evacuations;
   std::map<std::string, bool> m_kept_evacuations;
-  TimePoint m_evacuations_kept_until;
+  TimePoint m_operator_rows_kept_until;
 
   /// Rows of older eras in the cluster table, and their versions.
   std::map<std::string, uint64_t> m_older_rows;
@@ -422,6 +422,14 @@
   RowWrite m_write;
 };
 
+/// Reads the version of the row that tells operators of a rollout's state.
+struct ReadRolloutStatusCommand {
+  RolloutRecord m_record;
+
+  /// Era in which the row is wanted.
+  uint64_t m_era = 0;
+};
+
 /// Writes the row that tells operators of a rollout's state.
 struct WriteRolloutStatusCommand {
   RolloutRecord m_record;
@@ -439,6 +447,7 @@
                                     ReleaseCommand,
                                     ReadRowCommand,
                                     WriteRowCommand,
+                                    ReadRolloutStatusCommand,
                                     WriteRolloutStatusCommand,
                                     SendDatagramCommand>;
 
@@ -491,6 +500,10 @@
   Table<RolloutRow> m_rollouts;
   uint64_t m_rollout_report_sequence = 0;
 
+  /// When this process next tells the leader of newer records than the store
+  /// has.
+  TimePoint m_next_rollout_notice_at;
+
   /// No leader has been heard lately, so nothing is sent to versions that are
   /// being tried.
   bool m_rollouts_paused = false;
--- a/src/gateway/rollout_records.h
+++ b/src/gateway/rollout_records.h
@@ -57,6 +57,9 @@
   uint64_t m_requests = 0;
   uint64_t m_target_requests = 0;
 
+  /// Version of the newest row that repeats the order; 0 if none does.
+  uint64_t m_last_repeat = 0;
+
   /// Versions that were rolled back and not ordered again since.
   std::vector<std::string> m_rejected;
 
--- a/src/gateway/rollout_row.h
+++ b/src/gateway/rollout_row.h
@@ -29,6 +29,22 @@
   TimePoint m_order_seen_at;
   bool m_order_read_as_change = false;
 
+  /// The order's row may be of the copy from which the store came back, with
+  /// an order that was replaced or withdrawn since.
+  bool m_order_may_be_of_copy = false;
+
+  /// The row may be of the copy, and no order was in force when the store came
+  /// back: the order was withdrawn and is not in force.
+  bool m_order_withdrawn = false;
+
+  /// The row may be of the copy, and the record is that of a later order, which
+  /// is in force.
+  bool m_order_superseded = false;
+
+  /// Version of the newest row that repeats the record's order and was written
+  /// soon after the store came back.
+  uint64_t m_order_repeat = 0;
+
   /// The newest record, the version of its row in the store, and whether the
   /// store has it: a rollback takes effect before it is stored.
   std::optional<RolloutRecord> m_record;
@@ -55,13 +71,23 @@
   /// version.
   std::optional<RolloutState> m_reported_state;
   uint64_t m_status_version = 0;
+  bool m_status_version_known = false;
   bool m_status_in_flight = false;
   TimePoint m_next_status_at;
+
+  /// When the row is checked for a late write of an older era of the store.
+  std::optional<TimePoint> m_status_check_at;
 };
 
-/// Returns whether the record is that of the row's order.
+/// Returns whether an order is in force.
+bool HasOrder(const RolloutRow& row);
+
+/// Returns whether an order is in force and the record is that of it.
 bool IsOrdersRecord(const RolloutRow& row);
 
+/// Returns whether the row of the order in force repeats the record's order.
+bool IsRepeat(const RolloutRow& row);
+
 /// Returns the rollout as it applies to requests and keys, or nothing if all
 /// servers may be used.
 std::optional<RoutedRollout> BuildRoutedRollout(const RolloutRow& row);
--- a/src/gateway/rollout_system.cc
+++ b/src/gateway/rollout_system.cc
@@ -16,6 +16,15 @@
 // leader one by one: there are hundreds a second.
 constexpr milliseconds kJudgeInterval{200};
 
+// Late writes of an older era of the store may replace a state for the
+// operators if its version was given out again. They arrive within seconds.
+constexpr std::chrono::seconds kStatusCheckDelay{10};
+
+// Members tell the leader of newer records than the store has once it has had
+// time to write its own in a new era, and until they read them.
+constexpr std::chrono::seconds kNewerRecordsDelay{2};
+constexpr std::chrono::seconds kNewerRecordsPeriod{1};
+
 const RolloutSettings kSettings;
 
 RolloutRow* FindRow(GatewayTables& tables, const std::string& service) {
@@ -41,6 +50,42 @@
   return std::tie(a.m_order, a.m_step) < std::tie(b.m_order, b.m_step);
 }
 
+// Returns whether a record of the store is older than the one that is known:
+// written before a rollback that is not stored yet, or by a leader of this era
+// that did not know the newest record of the last one. A store that is restored
+// without another era gives out lower numbers of orders.
+bool IsBehind(const GatewayTables& tables,
+              const RolloutRow& row,
+              const RolloutRecord& record) {
+  return row.m_record && IsOlder(record, *row.m_record) &&
+         (record.m_order == row.m_record->m_order ||
+          tables.m_store_era.m_changed);
+}
+
+// Keeps an order out that may be of the copy while a record of a later order,
+// or the withdrawal of the order, shows that it was not in force. Operators
+// write their rows again; if they do not, the row is in force in the end.
+void UpdateCopiedOrder(GatewayTables& tables, RolloutRow& row, const Now& now) {
+  const TimePoint until =
+      row.m_order_seen_at + tables.m_settings.m_era_operator_grace;
+  const bool in_doubt =
+      row.m_order && row.m_order_may_be_of_copy && now.m_steady < until;
+  const bool superseded =
+      in_doubt && row.m_record &&
+      row.m_record->m_target != row.m_order->m_target &&
+      EraOfVersion(row.m_record->m_order) < EraOfVersion(row.m_order->m_number);
+  const bool withdrawn = in_doubt && row.m_order_withdrawn;
+  if (superseded != row.m_order_superseded ||
+      withdrawn != row.m_order_withdrawn) {
+    row.m_order_superseded = superseded;
+    row.m_order_withdrawn = withdrawn;
+    tables.m_snapshot_due = true;
+  }
+  if (superseded || withdrawn) {
+    tables.WakeAt(until);
+  }
+}
+
 bool IsSharded(const GatewayTables& tables, const std::string& service) {
   const RoutedService* found =
       tables.m_routes ? tables.m_routes->FindService(service) : nullptr;
@@ -109,6 +154,9 @@
 RolloutRecord BuildNextRecord(const RolloutRow& row) {
   RolloutRecord record = *row.m_record;
   ++record.m_step;
+  if (IsRepeat(row)) {
+    record.m_last_repeat = row.m_order->m_number;
+  }
   record.m_requests = row.m_judge->GetRequests();
   record.m_target_requests = row.m_judge->GetTargetRequests();
   return record;
@@ -123,18 +171,14 @@
   row.m_taken_over = true;
   row.m_members.clear();
   row.m_reported_state.reset();
-  row.m_status_version = 0;
+  row.m_status_version_known = false;
   row.m_status_in_flight = false;
   row.m_next_status_at = TimePoint();
-  // A rollback of the leader before may not have reached the store.
-  if (row.m_record && !row.m_record_stored) {
-    row.m_next_record = row.m_record;
-  }
 }
 
 // Drops what is decided on an earlier order, and begins the order in force.
 void StartOrder(RolloutRow& row, const Now& now) {
-  if (!row.m_order || IsOrdersRecord(row) ||
+  if (!HasOrder(row) || IsOrdersRecord(row) ||
       (row.m_next_record &&
        row.m_next_record->m_order == row.m_order->m_number)) {
     return;
@@ -147,6 +191,24 @@
   row.m_next_write_at = now.m_steady;
 }
 
+// Has the record written that the store lacks: a rollback of the leader before,
+// or any record in a new era of the store. An ended rollout must not start
+// again by a row that repeats its order, not even at hosts that start later.
+void KeepRecord(RolloutRow& row) {
+  if (!row.m_record || row.m_next_record) {
+    return;
+  }
+  const bool repeated =
+      IsRepeat(row) && row.m_record->m_state != RolloutState::kRunning;
+  if (row.m_record_stored && !repeated) {
+    return;
+  }
+  row.m_next_record = row.m_record;
+  if (repeated) {
+    row.m_next_record->m_last_repeat = row.m_order->m_number;
+  }
+}
+
 void WriteRecord(GatewayTables& tables, RolloutRow& row, const Now& now) {
   if (!row.m_next_record || row.m_write_in_flight) {
     return;
@@ -161,8 +223,25 @@
                        EncodeRecord(*row.m_next_record)}});
 }
 
+// Returns whether the row of the state is to be checked for a late write.
+bool IsStatusCheckDue(GatewayTables& tables,
+                      const RolloutRow& row,
+                      const Now& now) {
+  if (row.m_status_check_at && now.m_steady < *row.m_status_check_at) {
+    tables.WakeAt(*row.m_status_check_at);
+  }
+  return row.m_status_check_at && now.m_steady >= *row.m_status_check_at;
+}
+
 void WriteStatus(GatewayTables& tables, RolloutRow& row, const Now& now) {
-  if (!IsOrdersRecord(row) || !row.m_record_stored || row.m_status_in_flight ||
+  if (!IsOrdersRecord(row) || !row.m_record_stored || row.m_status_in_flight) {
+    return;
+  }
+  if (IsStatusCheckDue(tables, row, now)) {
+    row.m_status_check_at.reset();
+    row.m_status_version_known = false;
+  }
+  if (row.m_status_version_known &&
       row.m_reported_state == row.m_record->m_state) {
     return;
   }
@@ -171,6 +250,11 @@
     return;
   }
   row.m_status_in_flight = true;
+  if (!row.m_status_version_known) {
+    tables.m_outbox.emplace_back(
+        ReadRolloutStatusCommand{*row.m_record, tables.GetEra()});
+    return;
+  }
   tables.m_outbox.emplace_back(
       WriteRolloutStatusCommand{*row.m_record, row.m_status_version});
 }
@@ -271,7 +355,9 @@
 }
 
 void RunJudge(GatewayTables& tables, RolloutRow& row, const Now& now) {
-  if (!IsOrdersRecord(row) || row.m_next_record ||
+  const bool is_step_pending =
+      row.m_next_record && row.m_next_record != row.m_record;
+  if (!IsOrdersRecord(row) || is_step_pending ||
       row.m_record->m_state != RolloutState::kRunning) {
     return;
   }
@@ -392,10 +478,58 @@
   tables.m_rollouts_paused = paused;
 }
 
+// A record that was lost with the store's last seconds and with the leader may
+// be known to a member.
+void SendNewerRecords(GatewayTables& tables, const Now& now) {
+  const StoreEraState& era = tables.m_store_era;
+  const LeaderLeaseState& lease = tables.m_leader_lease;
+  if (!era.m_changed || lease.m_phase == LeaderLeasePhase::kLeader ||
+      lease.m_record.m_address.empty() ||
+      lease.m_record.m_address == tables.m_self.m_address ||
+      !tables.IsLoaded(kClusterRows)) {
+    return;
+  }
+  RolloutNotice notice{lease.m_record.m_epoch, {}};
+  tables.m_rollouts.ForEach([&notice](RolloutId, const RolloutRow& row) {
+    if (row.m_record && !row.m_record_stored) {
+      notice.m_records.push_back(*row.m_record);
+    }
+  });
+  if (notice.m_records.empty()) {
+    return;
+  }
+  const TimePoint due_at = std::max(tables.m_next_rollout_notice_at,
+                                    era.m_changed_at + kNewerRecordsDelay);
+  if (now.m_steady < due_at) {
+    tables.WakeAt(due_at);
+    return;
+  }
+  tables.m_next_rollout_notice_at = now.m_steady + kNewerRecordsPeriod;
+  tables.WakeAt(tables.m_next_rollout_notice_at);
+  tables.m_outbox.emplace_back(
+      SendDatagramCommand{{lease.m_record.m_address}, std::move(notice)});
+}
+
+// Goes on from a record that a member knows.
+void AdoptRecord(GatewayTables& tables,
+                 RolloutRow& row,
+                 const RolloutRecord& record) {
+  row.m_record = record;
+  row.m_record_stored = false;
+  row.m_next_record.reset();
+  row.m_judge.reset();
+  row.m_members.clear();
+  row.m_taken_over = true;
+  tables.m_snapshot_due = true;
+}
+
 }  // namespace
 
 void RolloutSystem::Run(GatewayTables& tables, const Now& now) {
+  tables.m_rollouts.ForEach(
+      [&](RolloutId, RolloutRow& row) { UpdateCopiedOrder(tables, row, now); });
   UpdatePause(tables, now);
+  SendNewerRecords(tables, now);
   if (!tables.IsLeading(now) || !tables.IsLoaded(kClusterRows) ||
       !tables.IsLoaded(kOperatorRows)) {
     return;
@@ -406,6 +540,7 @@
       ResetLeaderState(row, epoch);
     }
     StartOrder(row, now);
+    KeepRecord(row);
     RunJudge(tables, row, now);
     WriteRecord(tables, row, now);
     WriteStatus(tables, row, now);
@@ -415,18 +550,38 @@
 void RolloutSystem::ApplyOrder(GatewayTables& tables,
                                const std::string& service,
                                std::optional<RolloutOrder> order,
-                               bool as_change,
+                               const OrderReading& reading,
                                const Now& now) {
   RolloutRow& row = GetOrInsertRow(tables, service);
+  const StoreEraState& era = tables.m_store_era;
+  const bool may_repeat = now.m_steady < era.m_operator_rows_kept_until &&
+                          IsOrdersRecord(row) &&
+                          EraOfVersion(row.m_record->m_order) < tables.GetEra();
+  // A process that had read the table before knows whether there was an order.
+  row.m_order_withdrawn = order && reading.m_may_be_of_copy &&
+                          tables.m_progress[kOperatorRows].m_loaded &&
+                          !HasOrder(row);
   const bool is_known =
       row.m_order && order && row.m_order->m_target == order->m_target &&
       (row.m_order->m_number == order->m_number ||
        (row.m_record && row.m_record->m_state == RolloutState::kRunning));
   if (!is_known) {
     row.m_order_seen_at = now.m_steady;
-    row.m_order_read_as_change = as_change;
+    row.m_order_read_as_change = reading.m_as_change;
   }
   row.m_order = std::move(order);
+  row.m_order_may_be_of_copy = reading.m_may_be_of_copy;
+  UpdateCopiedOrder(tables, row, now);
+  if (row.m_order && row.m_record &&
+      row.m_order->m_target == row.m_record->m_target) {
+    if (may_repeat) {
+      row.m_order_repeat = row.m_order->m_number;
+    }
+    // The time of the order is the one that the record tells.
+    row.m_order_read_as_change =
+        row.m_order_read_as_change && EraOfVersion(row.m_order->m_number) ==
+                                          EraOfVersion(row.m_record->m_order);
+  }
   tables.m_snapshot_due = true;
 }
 
@@ -460,16 +615,12 @@
     // The leader writes the newest record that it knows in the present era.
     if (!row.m_record || IsOlder(*row.m_record, record)) {
       row.m_record = std::move(record);
+      row.m_record_stored = false;
+      UpdateCopiedOrder(tables, row, now);
     }
-    row.m_record_stored =
-        row.m_record_stored && NumberOfVersion(row.m_record_version) != 0;
     return;
   }
-  // The row may have been written before a rollback that is not stored yet, or
-  // by a leader of this era that did not know the newest record of the last.
-  if (row.m_record && IsOlder(record, *row.m_record) &&
-      (record.m_order == row.m_record->m_order ||
-       tables.m_store_era.m_changed)) {
+  if (IsBehind(tables, row, record)) {
     row.m_record_stored = false;
     return;
   }
@@ -477,16 +628,17 @@
 }
 
 // What was written since the copy is lost, the state for the operators as well.
-void RolloutSystem::OnEraChanged(GatewayTables& tables) {
-  tables.m_rollouts.ForEach([&tables](RolloutId, RolloutRow& row) {
+void RolloutSystem::OnEraChanged(GatewayTables& tables, const Now& now) {
+  tables.m_rollouts.ForEach([&](RolloutId, RolloutRow& row) {
     row.m_record_version = tables.GetMissingRowVersion();
     row.m_record_stored = false;
     row.m_write_in_flight = false;
     row.m_next_write_at = TimePoint();
     row.m_reported_state.reset();
-    row.m_status_version = 0;
+    row.m_status_version_known = false;
     row.m_status_in_flight = false;
     row.m_next_status_at = TimePoint();
+    row.m_status_check_at = now.m_steady + kStatusCheckDelay;
   });
 }
 
@@ -505,7 +657,10 @@
     row->m_record_version = result.m_version;
     tables.m_progress[kClusterRows].RecordKnownVersion(result.m_version,
                                                        now.m_steady);
-    OnStored(tables, *row, DecodeRolloutRecord(*write.m_value), now);
+    RolloutRecord record = DecodeRolloutRecord(*write.m_value);
+    if (!IsBehind(tables, *row, record)) {
+      OnStored(tables, *row, std::move(record), now);
+    }
     return;
   }
   // After a mismatch, or without a response, the row that the watch delivers
@@ -513,26 +668,49 @@
   row->m_next_write_at = now.m_steady + tables.m_settings.m_store_retry_delay;
 }
 
+void RolloutSystem::OnStatusRead(GatewayTables& tables,
+                                 const ReadRolloutStatusCommand& command,
+                                 const RowsResult& result,
+                                 const Now& now) {
+  RolloutRow* row = FindRow(tables, command.m_record.m_service);
+  if (!row || command.m_era != tables.GetEra()) {
+    return;
+  }
+  row->m_status_in_flight = false;
+  if (result.m_outcome != StoreOutcome::kDone) {
+    row->m_next_status_at =
+        now.m_steady + tables.m_settings.m_store_retry_delay;
+    return;
+  }
+  const uint64_t version = result.m_rows.empty()
+                               ? tables.GetMissingRowVersion()
+                               : result.m_rows.front().m_version;
+  if (version != row->m_status_version) {
+    row->m_reported_state.reset();
+  }
+  row->m_status_version = version;
+  row->m_status_version_known = true;
+}
+
 void RolloutSystem::OnStatusWritten(GatewayTables& tables,
                                     const WriteRolloutStatusCommand& command,
                                     const WriteResult& result,
                                     const Now& now) {
   RolloutRow* row = FindRow(tables, command.m_record.m_service);
-  if (!row) {
+  if (!row || EraOfVersion(command.m_expected_version) != tables.GetEra()) {
     return;
   }
   row->m_status_in_flight = false;
-  row->m_next_status_at = now.m_steady;
   if (result.m_outcome == StoreOutcome::kDone) {
     row->m_status_version = result.m_version;
     if (row->m_record && row->m_record->m_order == command.m_record.m_order) {
       row->m_reported_state = command.m_record.m_state;
     }
-  } else if (result.m_outcome == StoreOutcome::kVersionMismatch) {
-    row->m_status_version = result.m_version;
-  } else {
-    row->m_next_status_at += tables.m_settings.m_store_retry_delay;
+    return;
   }
+  // A mismatch tells the version of the store, not of the row.
+  row->m_status_version_known = false;
+  row->m_next_status_at = now.m_steady + tables.m_settings.m_store_retry_delay;
 }
 
 void RolloutSystem::SendReport(GatewayTables& tables,
@@ -593,14 +771,13 @@
   }
   for (const RolloutRecord& record : notice.m_records) {
     RolloutRow& row = GetOrInsertRow(tables, record.m_service);
-    const bool is_newer = !row.m_record ||
-                          row.m_record->m_order < record.m_order ||
-                          (row.m_record->m_order == record.m_order &&
-                           row.m_record->m_step < record.m_step);
-    if (record.m_state == RolloutState::kRolledBack && is_newer) {
-      row.m_record = record;
-      row.m_record_stored = false;
-      tables.m_snapshot_due = true;
+    const bool is_newer = !row.m_record || IsOlder(*row.m_record, record);
+    const bool is_of_member =
+        tables.m_store_era.m_changed &&
+        tables.m_leader_lease.m_phase == LeaderLeasePhase::kLeader;
+    if (is_newer &&
+        (is_of_member || record.m_state == RolloutState::kRolledBack)) {
+      AdoptRecord(tables, row, record);
     }
   }
 }
--- a/src/gateway/rollout_system.h
+++ b/src/gateway/rollout_system.h
@@ -7,18 +7,26 @@
 
 namespace foxtail {
 
+/// How an operators' order was read.
+struct OrderReading {
+  /// Its row was written just before.
+  bool m_as_change = false;
+
+  /// Its row may be of the copy from which the store came back.
+  bool m_may_be_of_copy = false;
+};
+
 /// Rollouts of new versions of services: the leader moves the traffic to the
 /// servers of the ordered version in steps, or back if they prove bad.
 class RolloutSystem {
  public:
   static void Run(GatewayTables& tables, const Now& now);
 
-  /// Applies an operators' order, or its removal. `as_change` tells that the
-  /// order was written just before.
+  /// Applies an operators' order, or its removal.
   static void ApplyOrder(GatewayTables& tables,
                          const std::string& service,
                          std::optional<RolloutOrder> order,
-                         bool as_change,
+                         const OrderReading& reading,
                          const Now& now);
 
   /// Applies a record of the store. `key` is the key of its row.
@@ -28,7 +36,7 @@
                           const Now& now);
 
   /// The store has entered another era: the records are written again.
-  static void OnEraChanged(GatewayTables& tables);
+  static void OnEraChanged(GatewayTables& tables, const Now& now);
 
   /// Handles the result of writing a record.
   static void OnRecordWritten(GatewayTables& tables,
@@ -36,6 +44,12 @@
                               const WriteResult& result,
                               const Now& now);
 
+  /// Handles the result of reading the row that `OnStatusWritten` is about.
+  static void OnStatusRead(GatewayTables& tables,
+                           const ReadRolloutStatusCommand& command,
+                           const RowsResult& result,
+                           const Now& now);
+
   /// Handles the result of writing a rollout's state for the operators.
   static void OnStatusWritten(GatewayTables& tables,
                               const WriteRolloutStatusCommand& command,
@@ -53,7 +67,8 @@
                                                const RolloutReport& report,
                                                const Now& now);
 
-  /// Applies rollbacks that the leader has decided on.
+  /// Applies rollbacks that the leader has decided on, and at the leader newer
+  /// records that a member knows and the store has lost.
   static void OnNotice(GatewayTables& tables, const RolloutNotice& notice);
 };
 
--- a/src/gateway/store_era_system.cc
+++ b/src/gateway/store_era_system.cc
@@ -39,15 +39,15 @@
   }
   MarkChanged(state, now);
   state.m_copy_versions = {};
-  state.m_evacuations_kept_until =
-      now.m_steady + tables.m_settings.m_era_evacuation_grace;
+  state.m_operator_rows_kept_until =
+      now.m_steady + tables.m_settings.m_era_operator_grace;
   state.m_older_rows.clear();
   // Registrations that are missing now are missing as after an outage.
   tables.m_store_reachable_since = now.m_steady;
   ForgetRegistrations(tables, now);
   LeadershipSystem::OnEraChanged(tables, now);
   OwnersSystem::OnEraChanged(tables);
-  RolloutSystem::OnEraChanged(tables);
+  RolloutSystem::OnEraChanged(tables, now);
   tables.m_events.push_back({EventNumber::kStoreEraChanged, {{"era", era}}});
   tables.WakeAt(now.m_steady);
 }
--- a/tests/gateway/rollout_system_test.cc
+++ b/tests/gateway/rollout_system_test.cc
@@ -90,6 +90,11 @@
   size_t m_requests_before = 0;
 };
 
+const RolloutRow* FindRow(GatewayTables& tables, const std::string& service) {
+  return tables.m_rollouts.Find(tables.m_rollouts.FindIf(
+      [&service](const RolloutRow& row) { return row.m_service == service; }));
+}
+
 FakeRolloutTraffic::Behaviour FailsIf(
     std::function<bool(const FakeCall&)> fails) {
   return [fails = std::move(fails)](const FakeCall& call) {
@@ -316,6 +321,234 @@
   EXPECT_EQ(world.Status(), "completed v3");
 }
 
+// The row that repeated the order had a higher number than the record, so the
+// rollout began again as soon as it had ended.
+TEST(RolloutSystemTest, AnOrderRepeatedWhileItRunsIsNoOtherOrder) {
+  RolloutWorld world(false);
+  world.m_world.Run(seconds(10));
+  const TimePoint ordered_at = world.m_ordered_at;
+  world.m_world.OrderRollout(world.m_service, "v2", kPeriod);
+  world.ExpectCompleted();
+  EXPECT_EQ(world.m_ordered_at, ordered_at);
+  world.m_world.Run(seconds(5));
+  EXPECT_EQ(world.Status(), "completed v2");
+}
+
+/// When the copy of the store is taken, in seconds after the order.
+class RolloutCopyTest : public testing::TestWithParam<int> {
+ protected:
+  // Runs the order's period, with a copy taken meanwhile, and restores it.
+  static void RunAndRestore(RolloutWorld& world) {
+    if (GetParam() < 0) {
+      world.m_world.RemoveRolloutOrder(world.m_service);
+      world.m_world.TakeCopy();
+      world.Order("v2");
+    } else {
+      world.m_world.Run(seconds(GetParam()));
+      world.m_world.TakeCopy();
+    }
+    world.RunPeriod();
+    world.m_world.RestoreCopy();
+  }
+
+  // Lets operators write the order again twice, as if a response was lost.
+  static void WriteAgain(RolloutWorld& world) {
+    for (int i = 0; i < 2; ++i) {
+      world.m_world.Run(seconds(2));
+      world.m_world.WriteRowsAgain();
+    }
+    world.m_world.Run(seconds(80));
+  }
+
+  static void RestartAllHosts(RolloutWorld& world) {
+    for (size_t host = 0; host < world.m_world.m_hosts.size(); ++host) {
+      world.m_world.Kill(host);
+      world.m_world.Start(host);
+      world.m_world.Run(seconds(4));
+    }
+  }
+};
+
+// The copy shows the rollout as running or as not ordered, and the operators'
+// row has another number than before.
+TEST_P(RolloutCopyTest, ARolledBackVersionStaysOut) {
+  RolloutWorld world(false);
+  world.m_world.m_traffic.m_behaviour =
+      FailsIf([](const FakeCall&) { return true; });
+  RunAndRestore(world);
+  const size_t sent = world.m_world.m_traffic.m_target_requests;
+  EXPECT_GT(sent, 0U);
+  WriteAgain(world);
+  EXPECT_EQ(world.Status(), "rolled_back v2");
+  RestartAllHosts(world);
+  EXPECT_EQ(world.Status(), "rolled_back v2");
+  EXPECT_EQ(world.m_world.m_traffic.m_target_requests, sent);
+  world.Order("v2");
+  world.m_world.Run(seconds(1));
+  EXPECT_EQ(world.Status(), "running v2");
+}
+
+// The old servers stop once the operators have read that it is completed.
+TEST_P(RolloutCopyTest, ACompletedRolloutStaysCompleted) {
+  RolloutWorld world(false);
+  RunAndRestore(world);
+  WriteAgain(world);
+  EXPECT_EQ(world.Status(), "completed v2");
+  RestartAllHosts(world);
+  EXPECT_EQ(world.Status(), "completed v2");
+  EXPECT_EQ(world.m_world.m_traffic.m_sent_to_stopped, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Times,
+                         RolloutCopyTest,
+                         testing::Values(-1, 0, 1, 10, 30, 59));
+
+// The leader knows later steps than the copy holds.
+TEST(RolloutEraTest, ARunningRolloutGoesOnFromItsStep) {
+  for (const bool good : {true, false}) {
+    RolloutWorld world(false);
+    if (!good) {
+      world.m_world.m_traffic.m_behaviour = FailsIf([](const FakeCall& call) {
+        return call.m_since_start > seconds(31);
+      });
+    }
+    world.m_world.Run(seconds(10));
+    world.m_world.TakeCopy();
+    world.m_world.Run(seconds(20));
+    const RolloutRecord before =
+        *FindRow(world.m_world.m_hosts[0].m_tables, world.m_service)->m_record;
+    world.m_world.RestoreCopy();
+    for (int i = 0; i < 100; ++i) {
+      world.m_world.Run(milliseconds(100));
+      for (FakeHost& host : world.m_world.m_hosts) {
+        const RolloutRecord& record =
+            *FindRow(host.m_tables, world.m_service)->m_record;
+        EXPECT_EQ(record.m_order, before.m_order) << i;
+        EXPECT_GE(record.m_step, before.m_step) << i;
+      }
+      if (i == 15) {
+        world.m_world.WriteRowsAgain();
+      }
+    }
+    if (good) {
+      world.ExpectCompleted();
+    } else {
+      world.ExpectRolledBack();
+    }
+  }
+}
+
+// The rollback is in neither the copy nor the memory of the next leader.
+TEST(RolloutEraTest, ARollbackThatOneMemberKnowsIsKept) {
+  RolloutWorld world(false);
+  world.m_world.m_traffic.m_behaviour = FailsIf(
+      [](const FakeCall& call) { return call.m_since_start > seconds(5); });
+  world.m_world.Run(seconds(3));
+  world.m_world.TakeCopy();
+  world.m_world.Run(seconds(17));
+  ASSERT_EQ(world.Status(), "rolled_back v2");
+  const size_t survivor = world.m_world.Leader() == 0 ? 1 : 0;
+  world.m_world.m_hosts[survivor].m_tables.m_self.m_processor_share = 0.1;
+  world.m_world.Run(seconds(1));
+  for (size_t host = 0; host < world.m_world.m_hosts.size(); ++host) {
+    if (host != survivor) {
+      world.m_world.Kill(host);
+      world.m_world.Start(host);
+    }
+  }
+  world.m_world.RestoreCopy();
+  world.m_world.Run(seconds(6));
+  EXPECT_NE(world.m_world.Leader(), survivor);
+  EXPECT_EQ(world.Status(), "rolled_back v2");
+  const size_t sent = world.m_world.m_traffic.m_target_requests;
+  world.m_world.WriteRowsAgain();
+  world.m_world.Run(seconds(30));
+  EXPECT_EQ(world.Status(), "rolled_back v2");
+  EXPECT_EQ(world.m_world.m_traffic.m_target_requests, sent);
+}
+
+// The copy holds the order before, and was lost with the record of the last.
+TEST(RolloutEraTest, AReplacedOrderIsNotFollowedAgain) {
+  for (const bool restarted : {false, true}) {
+    RolloutWorld world(false);
+    world.RunPeriod();
+    ASSERT_EQ(world.Status(), "completed v2");
+    for (size_t i = 0; i < kServers; ++i) {
+      world.m_world.m_servers[i].m_software_version = "v3";
+      world.m_world.RegisterServer(i);
+    }
+    world.m_world.TakeCopy();
+    world.Order("v3");
+    world.m_world.Run(seconds(20));
+    ASSERT_EQ(world.Status(), "running v3");
+    world.m_world.RestoreCopy();
+    world.m_world.Run(seconds(4));
+    EXPECT_EQ(world.Status(), "running v3");
+    if (restarted) {
+      for (size_t host = 0; host < 3; ++host) {
+        world.m_world.Kill(host);
+        world.m_world.Start(host);
+        world.m_world.Run(seconds(4));
+        EXPECT_EQ(world.Status(), "running v3");
+      }
+    }
+    world.m_world.WriteRowsAgain();
+    world.RunPeriod();
+    EXPECT_EQ(world.Status(), "completed v3");
+  }
+}
+
+// The copy brings back an order that operators had withdrawn.
+TEST(RolloutEraTest, AWithdrawnOrderStaysWithdrawn) {
+  RolloutWorld world(false);
+  world.m_world.Run(seconds(10));
+  world.m_world.TakeCopy();
+  world.m_world.RemoveRolloutOrder(world.m_service);
+  world.m_world.Run(seconds(1));
+  world.m_world.RestoreCopy();
+  for (int i = 0; i < 50; ++i) {
+    world.m_world.Run(seconds(1));
+    for (FakeHost& host : world.m_world.m_hosts) {
+      EXPECT_FALSE(FindRollout(host.m_tables, world.m_service)) << i;
+    }
+  }
+  world.Order("v2");
+  world.ExpectCompleted();
+}
+
+// Without the time limit an order that was new when the store came back, and
+// was read with the copy, would never be followed.
+TEST(RolloutEraTest, AnOrderReadWithTheCopyIsFollowedInTheEnd) {
+  RolloutWorld world(false);
+  world.RunPeriod();
+  for (size_t i = 0; i < kServers; ++i) {
+    world.m_world.m_servers[i].m_software_version = "v3";
+    world.m_world.RegisterServer(i);
+  }
+  world.m_world.TakeCopy();
+  world.m_world.Run(seconds(5));
+  world.m_world.RestoreCopy();
+  world.Order("v3");
+  world.m_world.Run(seconds(50));
+  EXPECT_EQ(world.Status(), "completed v2");
+  world.m_world.Run(seconds(80));
+  EXPECT_EQ(world.Status(), "completed v3");
+}
+
+// A late write of the era before replaces the state if its version was given
+// out again.
+TEST(RolloutEraTest, ALateWriteOfTheStateIsReplaced) {
+  RolloutWorld world(false);
+  world.m_world.TakeCopy();
+  world.RunPeriod();
+  world.m_world.RestoreCopy();
+  world.m_world.Run(seconds(4));
+  ASSERT_EQ(world.Status(), "completed v2");
+  world.m_world.OverwriteRolloutStatus(world.m_service, "running v2");
+  world.m_world.Run(seconds(8));
+  EXPECT_EQ(world.Status(), "completed v2");
+}
+
 // Many hosts with few requests each: the sum must keep the share.
 TEST(RolloutSystemTest, EightyHostsTogetherKeepTheExposure) {
   RolloutWorld world(false, 80, 100);
--- a/tests/support/gateway_world.cc
+++ b/tests/support/gateway_world.cc
@@ -182,6 +182,10 @@
   for (const char* data_centre : {"dc-0", "dc-1"}) {
     SetEvacuated(data_centre, m_evacuated.contains(data_centre));
   }
+  for (const auto& [service, order] : m_rollout_orders) {
+    PutRow(m_decoder.OperatorTable(), std::string(kFakeRolloutPrefix) + service,
+           order);
+  }
   for (size_t server = 0; server < m_servers.size(); ++server) {
     if (m_servers[server].m_up) {
       RegisterServer(server);
@@ -192,11 +196,13 @@
 void GatewayWorld::OrderRollout(const std::string& service,
                                 const std::string& version,
                                 std::chrono::seconds period) {
+  m_rollout_orders[service] = version + " " + std::to_string(period.count());
   PutRow(m_decoder.OperatorTable(), std::string(kFakeRolloutPrefix) + service,
-         version + " " + std::to_string(period.count()));
+         m_rollout_orders[service]);
 }
 
 void GatewayWorld::RemoveRolloutOrder(const std::string& service) {
+  m_rollout_orders.erase(service);
   PutRow(m_decoder.OperatorTable(), std::string(kFakeRolloutPrefix) + service,
          "", true);
 }
@@ -206,6 +212,11 @@
   return row == m_rows.end() ? "" : row->second.m_value;
 }
 
+void GatewayWorld::OverwriteRolloutStatus(const std::string& service,
+                                          const std::string& status) {
+  PutRow(kFakeStatusTable, service, status);
+}
+
 void GatewayWorld::SetClientRate(size_t host, double rate) {
   m_hosts[host].m_clients->m_rate = rate;
 }
@@ -352,7 +363,7 @@
 }
 
 // Simulates a watch, which returns at once when there are changes, and a probe.
-// In a new era the history is lost, and the whole table is read.
+// At the start and in a new era the whole table is read.
 void GatewayWorld::ReadChanges(size_t host, WatchedKind kind) {
   GatewayTables& tables = m_hosts[host].m_tables;
   if (!StoreEraSystem::OnResult(tables, StoreOutcome::kDone, m_era,
@@ -360,7 +371,7 @@
     return;
   }
   WatchProgress& progress = tables.m_progress[kind];
-  const bool complete = progress.m_loaded && !tables.IsLoaded(kind);
+  const bool complete = !tables.IsLoaded(kind);
   const uint64_t after =
       complete ? 0 : NumberOfVersion(progress.m_applied_version);
   const std::array<std::string, kWatchedKinds> table_names = {
@@ -591,7 +602,7 @@
   const bool missing = row == m_rows.end() || row->second.m_removed;
   const uint64_t version = missing ? 0 : row->second.m_version;
   if (version != NumberOfVersion(write.m_expected_version)) {
-    return {StoreOutcome::kVersionMismatch, MakeStoreVersion(m_era, version),
+    return {StoreOutcome::kVersionMismatch, MakeStoreVersion(m_era, m_version),
             m_era};
   }
   PutRow(write.m_table, write.m_key, write.m_value.value_or(""),
@@ -647,6 +658,28 @@
   }
 }
 
+void GatewayWorld::Execute(size_t host,
+                           const ReadRolloutStatusCommand& command) {
+  RowsResult result;
+  if (ReachesStore(host)) {
+    result.m_outcome = StoreOutcome::kDone;
+    result.m_era = m_era;
+    const std::string& service = command.m_record.m_service;
+    if (const auto row = m_rows.find({kFakeStatusTable, service});
+        row != m_rows.end()) {
+      result.m_rows.push_back({service, row->second.m_value,
+                               MakeStoreVersion(m_era, row->second.m_version)});
+    }
+  }
+  Schedule(host, kStoreDelay, [this, host, command, result] {
+    GatewayTables& tables = m_hosts[host].m_tables;
+    const bool accepted = StoreEraSystem::OnResult(tables, result.m_outcome,
+                                                   result.m_era, ReadNow());
+    RolloutSystem::OnStatusRead(tables, command,
+                                accepted ? result : RowsResult(), ReadNow());
+  });
+}
+
 void GatewayWorld::Execute(size_t host,
                            const WriteRolloutStatusCommand& command) {
   RowWrite write = m_decoder.EncodeRolloutStatus(command.m_record);
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -156,6 +156,10 @@
   void RemoveRolloutOrder(const std::string& service);
   std::string GetRolloutStatus(const std::string& service) const;
 
+  /// Lets a late write of the state for the operators take effect.
+  void OverwriteRolloutStatus(const std::string& service,
+                              const std::string& status);
+
   /// Returns the index of the leader, or the number of hosts if there is none.
   size_t Leader() const;
 
@@ -253,6 +257,7 @@
   void Send(size_t host, const ReleaseCommand& command);
   void Execute(size_t host, const ReadRowCommand& command);
   void Execute(size_t host, const WriteRowCommand& command);
+  void Execute(size_t host, const ReadRolloutStatusCommand& command);
   void Execute(size_t host, const WriteRolloutStatusCommand& command);
   void Execute(size_t host, const SendDatagramCommand& command);
   void RunRolloutTraffic(size_t host);
@@ -297,6 +302,7 @@
   uint64_t m_config_version = 0;
   std::string m_config;
   std::set<std::string> m_evacuated;
+  std::map<std::string, std::string> m_rollout_orders;
   std::multimap<TimePoint, std::function<void()>> m_scheduled;
   std::minstd_rand m_random;
 };
