Rollout settings are constexpr, as the linter asks

clang-tidy refused the name kSettings for a constant that is not constexpr; the struct is a literal type, so it can be.

--- a/src/gateway/rollout_system.cc
+++ b/src/gateway/rollout_system.cc
@@ -25,7 +25,7 @@
 constexpr std::chrono::seconds kNewerRecordsDelay{2};
 constexpr std::chrono::seconds kNewerRecordsPeriod{1};
 
-const RolloutSettings kSettings;
+constexpr RolloutSettings kSettings;
 
 RolloutRow* FindRow(GatewayTables& tables, const std::string& service) {
   return tables.m_rollouts.Find(tables.m_rollouts.FindIf(
