--- a/tests/scheduling/permit_scheduler_test.cc
+++ b/tests/scheduling/permit_scheduler_test.cc
@@ -294,8 +294,12 @@
   // A full server is not asked again at once.
   ASSERT_EQ(AskState(21, "a"), PermitState::kGranted);
   PermitRequests message = MakeMessage();
-  message.m_returns.push_back(
-      {21, PermitEnd::kRefused, milliseconds(1), LoadReport{2, 8, 2, {}}, {}, false});
+  message.m_returns.push_back({21,
+                               PermitEnd::kRefused,
+                               milliseconds(1),
+                               LoadReport{2, 8, 2, {}},
+                               {},
+                               false});
   Deliver(message);
   EXPECT_EQ(AskState(22, "a"), PermitState::kQueued);
 }
