--- a/src/gateway/control_thread.cc
+++ b/src/gateway/control_thread.cc
@@ -193,12 +193,14 @@
   return applied;
 }
 
+// While reads fail, a watch that stays open would not tell that the store is
+// back.
 RowsResult ControlThread::Watch(WatchedTable& table, bool& cancelled) {
   const auto cancellation = std::make_shared<Cancellation>();
   table.m_open_watch = cancellation;
   RowsResult result = m_store->Watch(
       table.m_name, m_tables.m_progress[table.m_kind].m_applied_version,
-      kWatchTimeout, cancellation);
+      m_store_retry.IsFailing() ? kProbeTimeout : kWatchTimeout, cancellation);
   table.m_open_watch = nullptr;
   cancelled = cancellation->IsCancelled();
   return result;
--- a/src/gateway/gateway_traffic_thread.cc
+++ b/src/gateway/gateway_traffic_thread.cc
@@ -20,6 +20,9 @@
 // An address that another socket has is tried again after this delay.
 constexpr milliseconds kAddressRetryDelay{100};
 
+// Time for the last responses before a graceful shutdown times out.
+constexpr milliseconds kStopMargin{150};
+
 // The readiness check and the metrics have few clients.
 constexpr size_t kMonitoringConnections = 16;
 
@@ -320,6 +323,8 @@
   if (!m_listening) {
     return true;  // no client was served
   }
+  // A request that a server never answers would be cut off at the end.
+  m_handler->LimitDeadlines(deadline - kStopMargin);
   m_scheduling->StopScheduling();
   m_client_server->StartDraining();
   boost::this_fiber::sleep_for(m_settings.m_stop_delay);
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -334,8 +334,9 @@
   context.m_target_at = context.m_started_at +
                         context.m_route->m_target_latency -
                         context.m_first_attempt_ago;
-  context.m_deadline = std::min(
-      context.m_deadline, context.m_started_at + context.m_route->m_timeout);
+  context.m_deadline =
+      std::min({context.m_deadline, m_latest_deadline,
+                context.m_started_at + context.m_route->m_timeout});
   context.m_priority = context.m_route->m_priority;
 }
 
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -88,6 +88,9 @@
   /// Erases the send state of servers that were not used recently.
   void Expire(TimePoint now) { m_send_system.Expire(now); }
 
+  /// Limits the deadlines of the requests that arrive from now on.
+  void LimitDeadlines(TimePoint latest) { m_latest_deadline = latest; }
+
   bool HasConfiguration() const { return m_snapshot && m_snapshot->m_routes; }
   uint64_t ConfigurationVersion() const;
 
@@ -179,6 +182,7 @@
   FiberEvent m_snapshot_changed;
   std::map<std::string, std::map<uint16_t, uint16_t>> m_slice_counts;
   uint64_t m_last_ticket = 0;
+  TimePoint m_latest_deadline = TimePoint::max();
   std::vector<LeavingServer> m_new_leaving;
   std::function<void()> m_on_server_leaving = [] {};
 };
--- a/src/gateway/store_retry.h
+++ b/src/gateway/store_retry.h
@@ -11,9 +11,9 @@
   /// Delay after the first failure; it doubles with each further one.
   Duration m_first_delay = std::chrono::milliseconds(150);
 
-  /// Longest delay. Below the time within which hosts that reach the store
-  /// again must follow it.
-  Duration m_max_delay = std::chrono::milliseconds(1200);
+  /// Longest delay. Well below the time within which hosts that reach the store
+  /// again must follow it, since a try may have to wait for a timeout first.
+  Duration m_max_delay = std::chrono::milliseconds(500);
 };
 
 /// Decides when a process whose reads of the store fail may read again. Answers
