Rollout records: find the record of the present era in a full reading

A full reading of the cluster table looked for the record under a key without the era of the store, so in any later era the record counted as lost and was expected at version 0. Every write of it then failed with a version mismatch, and the leader could not begin a new order.

--- a/src/gateway/directory_system.cc
+++ b/src/gateway/directory_system.cc
@@ -544,6 +544,11 @@
   return EncodeEraKey({tables.GetEra(), kMemberPrefix + address});
 }
 
+std::string RolloutRecordKey(const GatewayTables& tables,
+                             const std::string& service) {
+  return EncodeEraKey({tables.GetEra(), kRolloutRecordPrefix + service});
+}
+
 // The leader removes such rows in time.
 void RecordOlderRow(GatewayTables& tables,
                     const StoredRow& row,
@@ -783,8 +788,8 @@
       }
     });
     tables.m_rollouts.ForEach([&](RolloutId, RolloutRow& rollout) {
-      if (!HasKey(rows, kRolloutRecordPrefix + rollout.m_service)) {
-        rollout.m_record_version = 0;
+      if (!HasKey(rows, RolloutRecordKey(tables, rollout.m_service))) {
+        rollout.m_record_version = tables.GetMissingRowVersion();
         rollout.m_record_stored = false;
       }
     });
--- a/tests/gateway/directory_system_test.cc
+++ b/tests/gateway/directory_system_test.cc
@@ -6,8 +6,10 @@
 #include <map>
 
 #include "gateway/cluster_codec.h"
+#include "gateway/era_key.h"
 #include "gateway/range_grant_system.h"
 #include "gateway/routing_snapshot.h"
+#include "store/store_version.h"
 #include "support/gateway_world.h"
 
 namespace foxtail {
@@ -283,5 +285,36 @@
   EXPECT_EQ(tables.m_events.size(), 2U);
 }
 
+// The record counted as lost in every era but the first and was then expected
+// at version 0, so no later record, nor a new order, could be written. Writes
+// that expect a bare 0 are also not checked for a change of the era.
+TEST(DirectorySystemTest, AFullReadingFindsTheRolloutRecordOfItsEra) {
+  const FakeDirectoryDecoder decoder;
+  const DirectorySystem directory(decoder);
+  for (const uint64_t era : {0, 2}) {
+    GatewayTables tables;
+    tables.m_store_era.m_era = era;
+    RolloutRecord record;
+    record.m_service = "s";
+    record.m_target = "v2";
+    record.m_order = MakeStoreVersion(era, 5);
+    const uint64_t version = MakeStoreVersion(era, 7);
+    const StoredRow stored{
+        EncodeEraKey({era, kRolloutRecordPrefix + record.m_service}),
+        EncodeRecord(record), version, false};
+    directory.ApplyClusterRows(tables, {stored}, true, {});
+    ASSERT_EQ(tables.m_rollouts.size(), 1U);
+    tables.m_rollouts.ForEach([&](RolloutId, const RolloutRow& row) {
+      EXPECT_EQ(row.m_record_version, version);
+      EXPECT_TRUE(row.m_record_stored);
+    });
+    directory.ApplyClusterRows(tables, {}, true, {});
+    tables.m_rollouts.ForEach([&](RolloutId, const RolloutRow& row) {
+      EXPECT_EQ(row.m_record_version, MakeStoreVersion(era, 0));
+      EXPECT_FALSE(row.m_record_stored);
+    });
+  }
+}
+
 }  // namespace
 }  // namespace foxtail
