--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -88,7 +88,7 @@
         return self.first.split()[1]
 
 
-async def read_message(reader, to_head=False):
+async def read_message(reader):
     """Reads one message; returns None at the end of the connection."""
     try:
         head = await reader.readuntil(b"\r\n\r\n")
@@ -101,8 +101,6 @@
             name, value = line.split(":", 1)
             headers[name.strip().lower()] = value.strip()
     message = Message(lines[0], headers, b"")
-    if to_head:
-        return message
     if headers.get("transfer-encoding", "").lower() == "chunked":
         body = b""
         while True:
@@ -138,8 +136,9 @@
         self.copy = None
         self.changed = asyncio.Condition()
         self.port = free_port()
-        # Called with the peer's port and the request; returns "" to serve it,
-        # "busy", "silent", "reset", or a number of seconds to delay it.
+        # Called with a request; returns "" to serve it, "busy" for 503,
+        # "silent", "reset", "lost" to serve it and lose the answer, or a number
+        # of seconds to delay it.
         self.policy = lambda request: ""
 
     @property
