Gateway: a request that finds no server never searches without a wait

The two disagree for good when the servers have told that they leave: the scheduler of the group, which is this host, answers "unavailable" at once, the search begins again, and no step waits or looks at the deadline. The same loop ran while all servers paused and no scheduler answered, until the first pause ended.

Change: `HasUsableServer` and `ChooseServer` share one definition of a server that may be used, so the wait ends only if the next step finds one. So whatever else the steps come to disagree about, other fibers run and the request ends.

The handler takes its permits through the interface `PermitSource`, so that a test can answer for the schedulers.

Failing before the change, passing after it: RequestHandlerTest.RequestWhoseServersAllLeaveIsRefused, RequestHandlerTest.RequestWhoseServersAllPauseWaitsForTheFirst, RequestHandlerTest.RequestThatFindsNoServerAgainAndAgainEndsInTime, each with "the request never stops asking for a permit".

Ruled out by reading: the loops of PermitLink, PermitClient, the traffic and control threads, RateLimiter and the entry's ClientHandler, TokenClient and Dispatcher; each of their rounds waits, or moves the time that it waits for.

--- a/src/gateway/gateway_traffic_thread.h
+++ b/src/gateway/gateway_traffic_thread.h
@@ -7,6 +7,7 @@
 #include "gateway/control_thread.h"
 #include "gateway/report_schedule.h"
 #include "gateway/request_handler.h"
+#include "gateway/shared_scheduling.h"
 #include "runtime/http_server.h"
 #include "runtime/mailbox.h"
 #include "runtime/resource_account.h"
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -62,6 +62,12 @@
 // times is refused: what this host and the schedulers know differs too much.
 constexpr uint32_t kMaxUnusedPermits = 4;
 
+// A request that has found no server this many times waits before it looks for
+// one again: until the next snapshot, or for a delay. The servers that it may
+// pass over before it is refused count, so they cause no wait.
+constexpr uint32_t kMaxImmediateSearches = kMaxColdRefusals + kMaxUnusedPermits;
+constexpr milliseconds kSearchRetryDelay{40};
+
 struct RetryAfterRow {
   ErrorCode m_code;
   milliseconds m_delay;
@@ -104,6 +110,9 @@
   bool m_maybe_ran = false;
   std::set<std::string> m_tried_servers;
 
+  /// Number of searches that found no server to send the request to.
+  uint32_t m_failed_searches = 0;
+
   /// Number of cold servers whose rate did not admit the request.
   uint32_t m_cold_refusals = 0;
 
@@ -196,7 +205,7 @@
 RequestHandler::RequestHandler(const GatewaySettings& settings,
                                const FrontEnd& front_end,
                                const AccessFreshness& freshness,
-                               SharedScheduling& scheduling,
+                               PermitSource& permits,
                                RequestLog& log,
                                Metrics& metrics)
     : m_settings(settings),
@@ -205,13 +214,13 @@
       m_request_log(log),
       m_metrics(metrics),
       m_client(kClientSettings),
-      m_scheduling(scheduling),
+      m_permits(permits),
       m_rate_limiter(settings.m_ownership) {}
 
 void RequestHandler::OnSnapshot(
     std::shared_ptr<const RoutingSnapshot> snapshot) {
   m_snapshot = std::move(snapshot);
-  m_scheduling.OnSnapshot(m_snapshot);
+  m_permits.OnSnapshot(m_snapshot);
   m_rollout_splitter.Expire(*m_snapshot);
   m_rollout_meter.OnSnapshot(*m_snapshot);
   m_snapshot_changed.Notify();
@@ -381,7 +390,8 @@
     const PermitScope permit_scope(*this, context);
     const RoutedServer* server = AcquireServer(context);
     if (!server || !AcquireColdStart(context, *server)) {
-      continue;  // the server has changed meanwhile, or takes nothing now
+      ++context.m_failed_searches;  // it has changed, or takes nothing now
+      continue;
     }
     HttpResponse response;
     const AttemptOutcome outcome =
@@ -407,12 +417,22 @@
   }
 }
 
-// Waits until there is a server that the request can be sent to.
+// Waits until there is a server that the request can be sent to. Every search
+// for a server begins here, so that no request goes on beyond its deadline or
+// searches on and on while other fibers wait.
 void RequestHandler::WaitForTarget(RequestContext& context) {
+  if (context.m_failed_searches > kMaxImmediateSearches) {
+    m_snapshot_changed.WaitUntil(
+        std::min(context.m_deadline, Clock::now() + kSearchRetryDelay));
+  }
   const TimePoint wait_until =
       std::min(context.m_deadline, Clock::now() + kOwnerTimeout);
   while (true) {
     context.RequireClient();
+    if (Clock::now() >= context.m_deadline) {
+      ThrowFailure(context, ErrorCode::kServerSaturated,
+                   ErrorCode::kDeadlineExceeded);
+    }
     context.m_snapshot = m_snapshot;
     if (HasTarget(context)) {
       return;
@@ -430,16 +450,15 @@
   }
 }
 
+// With permits, the schedulers choose the server, but this host sends to none
+// that it does not choose from itself.
 bool RequestHandler::HasTarget(RequestContext& context) {
   if (context.m_sharded || !UsesPermits(context)) {
     return FindTarget(context) != nullptr;
   }
   const ServiceEndpoints* endpoints =
       context.m_snapshot->FindEndpoints(context.m_service);
-  return endpoints &&
-         std::ranges::any_of(endpoints->m_groups, [](const ServerGroup& group) {
-           return group.m_slots > 0;
-         });
+  return endpoints && HasUsableServer(*endpoints, m_send_system, Clock::now());
 }
 
 const RoutedServer* RequestHandler::FindTarget(RequestContext& context) {
@@ -565,7 +584,7 @@
 bool RequestHandler::UsesPermits(const RequestContext& context) const {
   const ServiceEndpoints* endpoints =
       context.m_snapshot->FindEndpoints(context.m_service);
-  return m_scheduling.IsOn() &&
+  return m_permits.IsOn() &&
          (context.m_sharded || !endpoints || !endpoints->m_rollout);
 }
 
@@ -603,7 +622,7 @@
     return !context.m_sharded || m_snapshot == asked_with ||
            FindOwnerId(*m_snapshot, context) == query.m_owner->m_id;
   };
-  const PermitAnswer answer = m_scheduling.Acquire(query);
+  const PermitAnswer answer = m_permits.Acquire(query);
   context.m_snapshot = m_snapshot;
   if (answer.m_state == PermitState::kGranted) {
     context.m_permit = answer.m_ticket;
@@ -670,7 +689,7 @@
 void RequestHandler::ReturnPermit(RequestContext& context,
                                   const PermitReturn& outcome) {
   if (context.m_permit != 0) {
-    m_scheduling.Return(std::exchange(context.m_permit, 0), outcome);
+    m_permits.Return(std::exchange(context.m_permit, 0), outcome);
   }
 }
 
@@ -953,7 +972,7 @@
 }
 
 void RequestHandler::LogPermits() {
-  const std::vector<PermitCounts> counts = m_scheduling.TakeCounts();
+  const std::vector<PermitCounts> counts = m_permits.TakeCounts();
   for (const PermitCounts& of_class : counts) {
     const std::array<std::pair<const char*, uint64_t>, 5> outcomes = {
         {{"granted", of_class.m_granted},
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -12,13 +12,13 @@
 #include "core/metrics.h"
 #include "gateway/client_patience.h"
 #include "gateway/front_end.h"
+#include "gateway/permit_source.h"
 #include "gateway/rate_limiter.h"
 #include "gateway/request_log.h"
 #include "gateway/rollout_meter.h"
 #include "gateway/rollout_splitter.h"
 #include "gateway/routing_snapshot.h"
 #include "gateway/send_system.h"
-#include "gateway/shared_scheduling.h"
 #include "gateway/traffic_splitter.h"
 #include "runtime/fiber_event.h"
 #include "runtime/http_client.h"
@@ -44,7 +44,7 @@
   RequestHandler(const GatewaySettings& settings,
                  const FrontEnd& front_end,
                  const AccessFreshness& freshness,
-                 SharedScheduling& scheduling,
+                 PermitSource& permits,
                  RequestLog& log,
                  Metrics& metrics);
 
@@ -168,7 +168,7 @@
   Metrics& m_metrics;
   HttpClient m_client;
   SendSystem m_send_system;
-  SharedScheduling& m_scheduling;
+  PermitSource& m_permits;
   ClientPatience m_patience;
   RateLimiter m_rate_limiter;
   TrafficSplitter m_splitter;
--- a/src/gateway/send_system.cc
+++ b/src/gateway/send_system.cc
@@ -41,6 +41,13 @@
   return std::exp2(-ToSeconds(age) / ToSeconds(kLoadHalfLife));
 }
 
+bool IsUsable(SendServerId id,
+              const RoutedServer& server,
+              const SendSystem& system,
+              TimePoint now) {
+  return now >= system.PauseEnd(id) && !system.LeavingSince(id, server);
+}
+
 }  // namespace
 
 SendServerId SendSystem::GetOrInsert(const RoutedServer& server,
@@ -266,6 +273,17 @@
   return first;
 }
 
+bool HasUsableServer(const ServiceEndpoints& endpoints,
+                     SendSystem& system,
+                     TimePoint now,
+                     const VersionChoice& versions) {
+  return std::ranges::any_of(endpoints.m_servers, [&](const auto& entry) {
+    const RoutedServer& server = entry.second;
+    return server.m_eligible && versions.Allows(server) &&
+           IsUsable(system.GetOrInsert(server, now), server, system, now);
+  });
+}
+
 const RoutedServer* ChooseServer(const ServiceEndpoints& endpoints,
                                  const std::string& data_centre,
                                  const std::set<std::string>& tried_servers,
@@ -280,7 +298,7 @@
       continue;
     }
     const SendServerId row_id = system.GetOrInsert(server, now);
-    if (now < system.PauseEnd(row_id) || system.LeavingSince(row_id, server)) {
+    if (!IsUsable(row_id, server, system, now)) {
       continue;
     }
     double load = system.GetRelativeLoad(row_id, server, now);
--- a/src/gateway/send_system.h
+++ b/src/gateway/send_system.h
@@ -159,10 +159,17 @@
                                       TimePoint now,
                                       const VersionChoice& versions = {});
 
-/// Chooses the least loaded eligible server of a service without shard keys,
-/// with a preference for `data_centre`. Skips `tried_servers` and servers
-/// that are leaving, have asked for a pause or are not allowed by `versions`.
-/// Returns null if no server is left.
+/// Returns whether requests that any server can run may be sent to one of the
+/// service's servers now: it is eligible, is not leaving, has not asked for a
+/// pause and is allowed by `versions`.
+bool HasUsableServer(const ServiceEndpoints& endpoints,
+                     SendSystem& system,
+                     TimePoint now,
+                     const VersionChoice& versions = {});
+
+/// Chooses the least loaded usable server of a service without shard keys, as
+/// defined by `HasUsableServer`, with a preference for `data_centre`. Skips
+/// `tried_servers`. Returns null if no server is left.
 const RoutedServer* ChooseServer(const ServiceEndpoints& endpoints,
                                  const std::string& data_centre,
                                  const std::set<std::string>& tried_servers,
--- /dev/null
+++ b/tests/gateway/request_handler_test.cc
@@ -0,0 +1,86 @@
+#include <gtest/gtest.h>
+
+#include <boost/fiber/operations.hpp>
+
+#include "runtime/fiber_scheduler.h"
+#include "runtime/http_server.h"
+#include "support/fake_request_path.h"
+
+namespace foxtail {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A handler, one backend server, and another fiber of the thread.
+class RequestHandlerTest : public testing::Test {
+ protected:
+  RequestHandlerTest()
+      : m_server({"127.0.0.1", 0}, HttpServerSettings(), [this](HttpRequest&) {
+          HttpResponse response = m_response;
+          return response;
+        }) {
+    m_server.Start();
+    auto snapshot = BuildTestSnapshot();
+    AddTestServer(*snapshot, "server-1", m_server.GetPort());
+    m_path.m_handler->OnSnapshot(std::move(snapshot));
+    StartFiber([this, stopped = m_stopped] {
+      while (!*stopped) {
+        ++m_other_fiber_runs;
+        boost::this_fiber::sleep_for(milliseconds(1));
+      }
+    });
+  }
+
+  ~RequestHandlerTest() override {
+    *m_stopped = true;
+    m_path.m_handler.reset();  // closes its connections
+    EXPECT_TRUE(m_server.Stop(seconds(5)));
+  }
+
+  HttpResponse Handle() {
+    m_path.m_permits.m_calls = 0;
+    m_other_fiber_runs = 0;
+    return m_path.Handle();
+  }
+
+  TestRequestPath m_path;
+  HttpResponse m_response;
+  HttpServer m_server;
+  uint32_t m_other_fiber_runs = 0;
+  std::shared_ptr<bool> m_stopped = std::make_shared<bool>(false);
+};
+
+// A request whose servers were all leaving went round without a wait, so that
+// its thread did nothing else any more.
+TEST_F(RequestHandlerTest, RequestWhoseServersAllLeaveIsRefused) {
+  m_response.m_headers.Set(kLeavingField, "1");
+  EXPECT_EQ(Handle().m_status, 200);
+  EXPECT_EQ(Handle().m_status, 503);
+  EXPECT_LE(m_path.m_permits.m_calls, 1U);
+}
+
+// The same while all servers pause and no scheduler answers: the request kept
+// the thread busy until the first pause had ended.
+TEST_F(RequestHandlerTest, RequestWhoseServersAllPauseWaitsForTheFirst) {
+  m_response.m_headers.Set(kPauseField, "200");
+  EXPECT_EQ(Handle().m_status, 200);
+  EXPECT_EQ(Handle().m_status, 200);
+  EXPECT_LE(m_path.m_permits.m_calls, 2U);
+  EXPECT_GT(m_other_fiber_runs, 0U);
+}
+
+// Whatever the steps on the way to a server disagree about, a request lets
+// other fibers run and ends by its deadline.
+TEST_F(RequestHandlerTest, RequestThatFindsNoServerAgainAndAgainEndsInTime) {
+  m_path.m_front_end.m_deadline = milliseconds(300);
+  m_path.m_permits.m_state = PermitState::kQueued;
+  const TimePoint started_at = Clock::now();
+  EXPECT_EQ(Handle().m_status, 503);
+  EXPECT_GE(Clock::now(), started_at + m_path.m_front_end.m_deadline);
+  EXPECT_LE(m_path.m_permits.m_calls, 50U);
+  EXPECT_GT(m_other_fiber_runs, 0U);
+}
+
+}  // namespace
+}  // namespace foxtail
