Gateway: refuse at once what no server of a service can take

Callers of a service without keys waited 0.70 s for the answer 503 when none of its servers took requests any more, with or without permits.

Cause: `WaitForTarget` gave every request `kOwnerTimeout`, which is the time in which a key that moves has an owner again. Servers that any request can be sent to have no such moment: one that leaves is not followed by another in its place.

A host that has just started still waits, since it does not know yet which servers there are.

Failing before the change: RequestHandlerTest.RequestForAServiceWithoutServersIsRefusedAtOnce. RequestHandlerTest.RequestWaitsUntilTheServersAreRead guards the start and passed before.

--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -30,8 +30,8 @@
 // server.
 constexpr milliseconds kResponseMargin{15};
 
-// Longest wait of a request for a key without an owner: a planned move takes
-// less, an unplanned one seconds.
+// Longest wait of a request for a key without an owner, or for a pause to end:
+// a planned move takes less, an unplanned one seconds.
 constexpr milliseconds kOwnerTimeout{700};
 
 // Retry delays sent to clients, by the cause of the error.
@@ -441,7 +441,8 @@
     if (pause_end) {
       RefuseDuringPause(context, *pause_end);
     }
-    if (Clock::now() >= wait_until) {
+    const bool may_come = pause_end || MayServerCome(context);
+    if (!may_come || Clock::now() >= wait_until) {
       ThrowFailure(context, ErrorCode::kPartitionNotServed,
                    ErrorCode::kServerLost);
     }
@@ -461,6 +462,13 @@
   return endpoints && HasUsableServer(*endpoints, m_send_system, Clock::now());
 }
 
+// Keys change hands within moments. Servers that any request can be sent to
+// register rarely, so a request that finds none is refused at once if this host
+// has read which servers there are.
+bool RequestHandler::MayServerCome(const RequestContext& context) {
+  return context.m_sharded || !context.m_snapshot->m_servers_known;
+}
+
 const RoutedServer* RequestHandler::FindTarget(RequestContext& context) {
   const ServiceEndpoints* endpoints =
       context.m_snapshot->FindEndpoints(context.m_service);
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -126,6 +126,7 @@
   bool AcquireColdStart(RequestContext& context, const RoutedServer& server);
   bool UsesPermits(const RequestContext& context) const;
   bool HasTarget(RequestContext& context);
+  static bool MayServerCome(const RequestContext& context);
   const RoutedServer* AcquireServer(RequestContext& context);
   const RoutedServer* AcquireOwnTurn(RequestContext& context);
   const RoutedServer* AcquirePermit(RequestContext& context);
--- a/src/gateway/routing_snapshot.cc
+++ b/src/gateway/routing_snapshot.cc
@@ -108,6 +108,7 @@
   if (tables.m_progress[kClusterRows].m_loaded) {
     snapshot->m_routes = tables.m_routes;
   }
+  snapshot->m_servers_known = tables.IsLoaded(kServerRows);
   tables.m_servers.ForEach([&](ServerId, const ServerRow& server) {
     RoutedServer routed = BuildServer(server);
     auto& servers = snapshot->m_endpoints[server.m_entry.m_service].m_servers;
--- a/src/gateway/routing_snapshot.h
+++ b/src/gateway/routing_snapshot.h
@@ -71,6 +71,9 @@
   std::shared_ptr<const RouteIndex> m_routes;
   std::map<std::string, ServiceEndpoints> m_endpoints;
 
+  /// Whether the registered servers have been read.
+  bool m_servers_known = false;
+
   /// Number of registered gateways, at least 1.
   size_t m_member_count = 1;
 
--- a/tests/gateway/request_handler_test.cc
+++ b/tests/gateway/request_handler_test.cc
@@ -70,6 +70,33 @@
   EXPECT_GT(m_other_fiber_runs, 0U);
 }
 
+// A request for a service without keys and without servers waited 0.7 s for a
+// server, as for a key that is about to have an owner.
+TEST_F(RequestHandlerTest, RequestForAServiceWithoutServersIsRefusedAtOnce) {
+  auto snapshot = BuildTestSnapshot();
+  snapshot->m_servers_known = true;
+  m_path.m_handler->OnSnapshot(std::move(snapshot));
+  EXPECT_EQ(Handle().m_status, 503);
+  EXPECT_EQ(m_other_fiber_runs, 0U);
+  m_path.m_permits.m_on = false;
+  EXPECT_EQ(Handle().m_status, 503);
+  EXPECT_EQ(m_other_fiber_runs, 0U);
+}
+
+// A host that has just started has not read the servers yet: its requests must
+// not be refused for that.
+TEST_F(RequestHandlerTest, RequestWaitsUntilTheServersAreRead) {
+  m_path.m_handler->OnSnapshot(BuildTestSnapshot());
+  StartFiber([this] {
+    boost::this_fiber::sleep_for(milliseconds(50));
+    auto snapshot = BuildTestSnapshot();
+    snapshot->m_servers_known = true;
+    AddTestServer(*snapshot, "server-1", m_server.GetPort());
+    m_path.m_handler->OnSnapshot(std::move(snapshot));
+  });
+  EXPECT_EQ(Handle().m_status, 200);
+}
+
 // Whatever the steps on the way to a server disagree about, a request lets
 // other fibers run and ends by its deadline.
 TEST_F(RequestHandlerTest, RequestThatFindsNoServerAgainAndAgainEndsInTime) {
