Gateway: pass on responses that end their connection

Callers got 502 in place of each answer with `Connection: close`, long ones after the first part of the body, and of each answer of HTTP/1.0. What such answers tell was lost too: load, leaving, a pause, and that the request was not run, so that a refusal that could have been sent on became a failure.

Cause: the callback `ExchangeOptions::m_matches_request` was asked whether the connection may be used again, and classified the response by the way. For a response that ends its connection the answer is no whatever it says, so `reader->KeepsAlive() && matches(...)` never called it, and the response kept the kind `kInvalid`.

Change: the callback decides on the connection only, without side effects, and the request path classifies each response that has arrived. A response without a length ends its connection too, so its connection is not offered for reuse.

Ruled out by reading: no other caller of `HttpClient::Exchange` passes the callback. Grants, releases, the store, probes, relays and the project's own interface judge the response itself, and `m_before_send` has no side effects.

--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -815,17 +815,19 @@
   HttpRequest forwarded = m_front_end.BuildServerRequest(
       request,
       {server.m_id, context.WorkspaceName(), context.m_deadline - started_at});
-  ServerResponse server_response;
   ExchangeOptions options;
   options.m_matches_request = [&](const HttpResponse& received) {
-    server_response = m_front_end.Classify(context.m_request, received);
-    return server_response.m_kind != ResponseKind::kInvalid;
+    return m_front_end.Classify(context.m_request, received).m_kind !=
+           ResponseKind::kInvalid;
   };
   options.m_force_new_connection = context.m_attempts > 1;
   options.m_max_buffered_body = kMaxBufferedBody;
   ExchangeResult result =
       m_client.Exchange(server.m_address, forwarded,
                         context.m_deadline + kResponseMargin, options);
+  const ServerResponse server_response =
+      result.m_ok ? m_front_end.Classify(context.m_request, result.m_response)
+                  : ServerResponse();
   const AttemptOutcome outcome = ClassifyExchange(
       context, server, started_at, result, server_response, response);
   ReturnPermit(context,
--- a/src/runtime/http_client.h
+++ b/src/runtime/http_client.h
@@ -52,7 +52,8 @@
 
   /// Returns whether the response belongs to the request. If not, the responses
   /// on the connection no longer match its requests, and the connection is not
-  /// used again.
+  /// used again. Decides on the connection only, so it is not called for a
+  /// response that ends it; must have no side effects.
   std::function<bool(const HttpResponse&)> m_matches_request = nullptr;
 
   /// Opens a new connection instead of reusing an idle one. On a reused
--- a/src/runtime/http_response_reader.h
+++ b/src/runtime/http_response_reader.h
@@ -35,7 +35,10 @@
   boost::system::error_code ReadBody(std::string& body, size_t limit);
 
   bool IsDone() const { return m_parser->is_done(); }
-  bool KeepsAlive() const { return m_parser->get().keep_alive(); }
+
+  /// Returns whether another response may follow: not if this one says so, nor
+  /// if its body ends with the connection.
+  bool KeepsAlive() const { return m_parser->keep_alive(); }
   void SetOnComplete(OnComplete on_complete) {
     m_on_complete = std::move(on_complete);
   }
