Gateway: tell in log and metrics that the traffic thread has stalled

Cause: only the traffic thread itself writes of what it does, so nobody is left to tell that it does nothing.

Change: the traffic thread notes when it last ran its regular fibers, and the control thread compares that with the clock each second (`StallDetector`). After 3 s without a run it writes `traffic_thread_stalled`, and `traffic_thread_resumed` when the thread goes on. The metrics count the stalls and hold the longest one. If the checks themselves were late, the process as a whole stood still, and the time starts anew.

--- a/src/core/event.cc
+++ b/src/core/event.cc
@@ -29,6 +29,10 @@
     EventInfo{kAddressInUse, "address_in_use", "error",
               "Another socket has an address of this process, which waits for "
               "it."},
+    EventInfo{kTrafficThreadStalled, "traffic_thread_stalled", "silent_ms",
+              "The thread that serves clients has stopped running its fibers."},
+    EventInfo{kTrafficThreadResumed, "traffic_thread_resumed", "silent_ms",
+              "The thread that serves clients runs again."},
     EventInfo{kControlLeaseAcquired, "control_lease_acquired", "cell epoch",
               "This process controls the cell from now on."},
     EventInfo{kControlLeaseLost, "control_lease_lost", "cell epoch",
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -24,6 +24,8 @@
   kProcessStopped = 102,
   kSettingsKept = 103,
   kAddressInUse = 104,
+  kTrafficThreadStalled = 105,
+  kTrafficThreadResumed = 106,
   kControlLeaseAcquired = 200,
   kControlLeaseLost = 201,
   kControlLeaseExtended = 202,
--- a/src/gateway/control_thread.cc
+++ b/src/gateway/control_thread.cc
@@ -136,6 +136,7 @@
   StartFiber([this] { ProbeLoop(); });
   StartFiber([this] { ReceiveLoop(); });
   StartFiber([this] { TickLoop(); });
+  StartFiber([this] { ProgressLoop(); });
   m_mailbox.Loop();
   m_stopping = true;
 }
@@ -348,6 +349,13 @@
   }
 }
 
+void ControlThread::ProgressLoop() {
+  while (!m_stopping) {
+    m_listener.CheckProgress();
+    boost::this_fiber::sleep_for(StallDetectorSettings().m_check_interval);
+  }
+}
+
 void ControlThread::TickLoop() {
   while (!m_stopping) {
     Tick();
--- a/src/gateway/control_thread.h
+++ b/src/gateway/control_thread.h
@@ -11,6 +11,7 @@
 #include "gateway/gateway_tables.h"
 #include "gateway/routing_snapshot.h"
 #include "gateway/server_control.h"
+#include "gateway/stall_detector.h"
 #include "gateway/store_retry.h"
 #include "runtime/fiber_event.h"
 #include "runtime/mailbox.h"
@@ -41,6 +42,10 @@
   /// The leader's response to a report arrived, with tokens for the rate limits
   /// of the workspaces.
   virtual void OnLeaderTokens(LeaderTokens tokens) = 0;
+
+  /// Called at the interval of a `StallDetector`: the listener finds out here
+  /// whether its own thread still runs.
+  virtual void CheckProgress() = 0;
 };
 
 /// Thread that owns the control tables: watches the store, runs the systems
@@ -119,6 +124,7 @@
   void UpdateReachability(WatchedTable& table,
                           bool succeeded,
                           StoreOutcome outcome);
+  void ProgressLoop();
   void TickLoop();
   void Tick();
   void Flush();
--- a/src/gateway/gateway_traffic_thread.cc
+++ b/src/gateway/gateway_traffic_thread.cc
@@ -72,6 +72,7 @@
 
 void GatewayTrafficThread::Start(ControlThread& control) {
   m_control = &control;
+  m_last_run_at = Clock::now();
   m_thread = std::thread([this] { Run(); });
 }
 
@@ -196,13 +197,16 @@
 HttpResponse GatewayTrafficThread::BuildMetricsResponse() const {
   HttpResponse response;
   response.m_headers.Set("Content-Type", "text/plain; version=0.0.4");
-  response.m_body = m_metrics.Text() + "foxtail_configuration_version " +
-                    std::to_string(m_handler->ConfigurationVersion()) +
-                    "\nfoxtail_configuration_age_ms " +
-                    std::to_string(ConfigurationAge().count()) +
-                    "\nfoxtail_in_flight " +
-                    std::to_string(m_handler->CountInFlight()) + "\n" +
-                    BuildResourceMetrics();
+  response.m_body =
+      m_metrics.Text() + "foxtail_configuration_version " +
+      std::to_string(m_handler->ConfigurationVersion()) +
+      "\nfoxtail_configuration_age_ms " +
+      std::to_string(ConfigurationAge().count()) + "\nfoxtail_in_flight " +
+      std::to_string(m_handler->CountInFlight()) +
+      "\nfoxtail_traffic_stalls_total " + std::to_string(m_stalls) +
+      "\nfoxtail_traffic_longest_stall_ms " +
+      std::to_string(m_longest_stall.load().count()) + "\n" +
+      BuildResourceMetrics();
   return response;
 }
 
@@ -275,6 +279,7 @@
 void GatewayTrafficThread::ResourceLoop() {
   TimePoint next_return_at = Clock::now();
   while (!m_stopping) {
+    m_last_run_at = Clock::now();
     m_account->OnResidentMemory(ReadResidentMemory());
     if (m_account->ShouldReturnMemory() && Clock::now() >= next_return_at) {
       next_return_at = Clock::now() + kMinReturnInterval;
@@ -305,6 +310,21 @@
                   {"server_connections", state.m_server_connections}});
 }
 
+void GatewayTrafficThread::CheckProgress() {
+  const auto change =
+      m_stall_detector.Check(m_last_run_at.load(), Clock::now());
+  if (!change) {
+    return;
+  }
+  const auto silence =
+      std::chrono::duration_cast<milliseconds>(change->m_silence);
+  m_stalls += change->m_stalled ? 1 : 0;
+  m_longest_stall = std::max(m_longest_stall.load(), silence);
+  m_events.Write(change->m_stalled ? EventNumber::kTrafficThreadStalled
+                                   : EventNumber::kTrafficThreadResumed,
+                 {{"silent_ms", silence.count()}});
+}
+
 bool GatewayTrafficThread::Stop() {
   auto all_answered = std::make_shared<boost::fibers::promise<bool>>();
   // On a fiber of its own, so that the mailbox goes on to deliver snapshots.
--- a/src/gateway/gateway_traffic_thread.h
+++ b/src/gateway/gateway_traffic_thread.h
@@ -8,6 +8,7 @@
 #include "gateway/report_schedule.h"
 #include "gateway/request_handler.h"
 #include "gateway/shared_scheduling.h"
+#include "gateway/stall_detector.h"
 #include "runtime/http_server.h"
 #include "runtime/mailbox.h"
 #include "runtime/resource_account.h"
@@ -35,6 +36,7 @@
   void OnSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot) override;
   void OnFreshness(BootTime configuration_read_at) override;
   void OnLeaderTokens(LeaderTokens tokens) override;
+  void CheckProgress() override;
   bool IsFresh() const override;
 
  private:
@@ -83,6 +85,14 @@
   bool m_listening = false;
   bool m_shutting_down = false;
   bool m_stopping = false;
+
+  /// When the thread last ran a fiber that runs regularly.
+  std::atomic<TimePoint> m_last_run_at;
+
+  /// Used on the control thread, which counts what the metrics show.
+  StallDetector m_stall_detector;
+  std::atomic<uint64_t> m_stalls = 0;
+  std::atomic<std::chrono::milliseconds> m_longest_stall{};
   std::thread m_thread;
 };
 
