Gateway: end on SIGTERM although the traffic thread hangs

Cause: `Stop` posted to the thread's mailbox and waited for the answer without a limit. If the mailbox was full, the post itself never returned.

Change: the post runs on a fiber of its own, and the answer is awaited for the timeout of a stop and 200 ms more. Without an answer the process writes `traffic_thread_stalled` and ends with the status of a stop that cut requests off.

Failing before the change ("Terminated by signal 14", after 20 s): GatewayTrafficThreadDeathTest.AThreadThatHangsIsToldAndGivenUp. The hang is a front end that never returns; the mailbox is full.

--- a/src/gateway/gateway_traffic_thread.cc
+++ b/src/gateway/gateway_traffic_thread.cc
@@ -23,6 +23,10 @@
 // Time for the last responses before a graceful shutdown times out.
 constexpr milliseconds kStopMargin{150};
 
+// A thread that has not responded this long after a graceful shutdown timed out
+// is given up.
+constexpr milliseconds kStopResponseTime{200};
+
 // The readiness check and the metrics have few clients.
 constexpr size_t kMonitoringConnections = 16;
 
@@ -327,12 +331,25 @@
 
 bool GatewayTrafficThread::Stop() {
   auto all_answered = std::make_shared<boost::fibers::promise<bool>>();
-  // On a fiber of its own, so that the mailbox goes on to deliver snapshots.
-  m_mailbox.Post([this, all_answered] {
-    StartFiber(
-        [this, all_answered] { all_answered->set_value(StopServers()); });
+  auto answered = all_answered->get_future();
+  // The stop runs on a fiber of its own, so that the mailbox goes on to deliver
+  // snapshots, and so does the call: the mailbox of a thread that has stalled
+  // may be full.
+  StartFiber([this, all_answered] {
+    m_mailbox.Post([this, all_answered] {
+      StartFiber(
+          [this, all_answered] { all_answered->set_value(StopServers()); });
+    });
   });
-  return all_answered->get_future().get();
+  if (answered.wait_for(m_settings.m_stop_timeout + kStopResponseTime) ==
+      boost::fibers::future_status::ready) {
+    return answered.get();
+  }
+  const auto silence = std::chrono::duration_cast<milliseconds>(
+      Clock::now() - m_last_run_at.load());
+  m_events.Write(EventNumber::kTrafficThreadStalled,
+                 {{"silent_ms", silence.count()}});
+  return false;
 }
 
 // The load balancer stops sending new connections only after its checks have
--- a/src/gateway/gateway_traffic_thread.h
+++ b/src/gateway/gateway_traffic_thread.h
@@ -29,8 +29,8 @@
 
   /// Shuts down gracefully: readiness checks fail, requests on open connections
   /// are completed, then the connections are closed. Snapshots still apply
-  /// meanwhile. Returns false if a connection had to be cut off. The thread
-  /// runs until the process ends.
+  /// meanwhile. Returns false if a connection had to be cut off, or if the
+  /// thread does not respond. The thread runs until the process ends.
   bool Stop();
 
   void OnSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot) override;
