--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -207,9 +207,9 @@
     return result;
   }
   result.m_ok = true;
-  const bool reusable =
-      reader->KeepsAlive() && (!options.m_matches_request ||
-                               options.m_matches_request(result.m_response));
+  const bool reusable = !options.m_close_connection && reader->KeepsAlive() &&
+                        (!options.m_matches_request ||
+                         options.m_matches_request(result.m_response));
   reader->SetOnComplete([this, address, reusable,
                          max_idle_time = MaxIdleTimeOf(
                              result.m_response, m_settings.m_max_idle_time)](
--- a/src/runtime/http_client.h
+++ b/src/runtime/http_client.h
@@ -61,6 +61,10 @@
   /// request could not be told from the response to this attempt.
   bool m_force_new_connection = false;
 
+  /// Closes the connection after the exchange, so that no later request takes a
+  /// second copy of the response for its own.
+  bool m_close_connection = false;
+
   /// A longer body, in bytes, is returned in pieces: the response holds this
   /// much of it and a stream of the rest, which must be read or destroyed
   /// before the client. Bodies over the client's limit are then accepted.
--- a/tests/platform/server_control_client_test.cc
+++ b/tests/platform/server_control_client_test.cc
@@ -2,11 +2,21 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/fiber/operations.hpp>
+#include <memory>
+
+#include "runtime/fiber_scheduler.h"
+#include "runtime/fiber_wait.h"
 #include "runtime/http_server.h"
 
 namespace foxtail {
 namespace {
 
+using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 constexpr const char* kServer = "i-2";
@@ -58,5 +68,100 @@
             ServerCallOutcome::kDone);
 }
 
+/// Fake of a faulty server: when it takes a call on a connection that it has
+/// answered on before, it sends its last response once more. Its own response
+/// follows after the time that a release takes.
+class FakeCopyingServer {
+ public:
+  FakeCopyingServer() {
+    StartFiber([state = m_state] {
+      while (true) {
+        auto client = std::make_shared<tcp::socket>(ThreadIoContext());
+        if (AwaitOperation([&](auto handler) {
+              state->m_acceptor.async_accept(*client, handler);
+            })) {
+          return;
+        }
+        StartFiber([state, client] { Serve(*state, *client); });
+      }
+    });
+  }
+  ~FakeCopyingServer() { m_state->m_acceptor.close(); }
+
+  FakeCopyingServer(const FakeCopyingServer&) = delete;
+  FakeCopyingServer& operator=(const FakeCopyingServer&) = delete;
+
+  std::string GetAddress() const {
+    return "127.0.0.1:" +
+           std::to_string(m_state->m_acceptor.local_endpoint().port());
+  }
+
+ private:
+  struct State {
+    tcp::acceptor m_acceptor{
+        ThreadIoContext(),
+        tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)};
+  };
+
+  static std::string BuildResponse(const std::string& call) {
+    constexpr const char* kEnd = "Content-Length: 0\r\n\r\n";
+    if (call.find(std::string(": ") + kServer + "\r\n") == std::string::npos) {
+      return std::string("HTTP/1.1 421 Misdirected Request\r\n") + kEnd;
+    }
+    const bool is_release = call.starts_with("POST /release");
+    return std::string("HTTP/1.1 200 OK\r\n") +
+           (is_release ? "X-Foxtailcart-Handover: h\r\n" : "") + kEnd;
+  }
+
+  static void Serve(State&, tcp::socket& client) {
+    std::string last_response;
+    std::string input;
+    while (true) {
+      if (AwaitOperation([&](auto handler) {
+            boost::asio::async_read_until(
+                client, boost::asio::dynamic_buffer(input), "}", handler);
+          })) {
+        return;
+      }
+      boost::system::error_code ignored;
+      boost::asio::write(client, boost::asio::buffer(last_response), ignored);
+      boost::this_fiber::sleep_for(milliseconds(50));
+      last_response = BuildResponse(std::exchange(input, {}));
+      boost::asio::write(client, boost::asio::buffer(last_response), ignored);
+    }
+  }
+
+  std::shared_ptr<State> m_state = std::make_shared<State>();
+};
+
+// A second copy of the response to a grant completed a release: the keys moved
+// while their first owner was at work on them.
+TEST(ServerControlClientTest, CopyOfAResponseToAGrantCompletesNoRelease) {
+  const FakeCopyingServer server;
+  const ServerTarget target{kServer, server.GetAddress()};
+  ServerControlClient client;
+  for (int i = 0; i < 2; ++i) {
+    std::string handover;
+    EXPECT_EQ(client.Grant(target, kKeys, 1, seconds(4), "", seconds(5)),
+              ServerCallOutcome::kDone);
+    EXPECT_EQ(client.Release(target, kKeys, 2, seconds(5), handover),
+              ServerCallOutcome::kDone);
+    EXPECT_EQ(handover, "h");
+  }
+}
+
+// A second copy of a rejection for the server that had the address before made
+// the one that has it now count as ended.
+TEST(ServerControlClientTest, CopyOfARejectionEndsNoServer) {
+  const FakeCopyingServer server;
+  ServerControlClient client;
+  EXPECT_EQ(client.Grant({"i-1", server.GetAddress()}, kKeys, 1, seconds(4), "",
+                         seconds(5)),
+            ServerCallOutcome::kReplaced);
+  EXPECT_EQ(client.Grant({kServer, server.GetAddress()}, kKeys, 1, seconds(4),
+                         "", seconds(5)),
+            ServerCallOutcome::kDone);
+}
+
 }  // namespace
 }  // namespace foxtail
