Tests: one server that sends bytes of the test's choice

The tests of responses that end their connection and of control calls each had a server of their own on a raw socket.

--- a/tests/gateway/response_end_test.cc
+++ b/tests/gateway/response_end_test.cc
@@ -1,22 +1,16 @@
 #include <gtest/gtest.h>
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
 #include <optional>
 #include <ostream>
 #include <sstream>
 
 #include "core/error.h"
-#include "runtime/fiber_scheduler.h"
-#include "runtime/fiber_wait.h"
 #include "support/fake_request_path.h"
+#include "support/raw_server.h"
 
 namespace foxtail {
 namespace {
 
-using boost::asio::ip::tcp;
-
 constexpr size_t kShortBody = 200;        // bytes
 constexpr size_t kLongBody = 300 * 1024;  // bytes, passed on in pieces
 
@@ -50,69 +44,6 @@
   return out.str();
 }
 
-/// Sends the same bytes in response to each request, and ends the connection.
-class EndingServer {
- public:
-  EndingServer() {
-    StartFiber([state = m_state] {
-      while (true) {
-        tcp::socket client(ThreadIoContext());
-        if (AwaitOperation([&](auto handler) {
-              state->m_acceptor.async_accept(client, handler);
-            })) {
-          return;
-        }
-        Serve(*state, client);
-      }
-    });
-  }
-  ~EndingServer() { m_state->m_acceptor.close(); }
-
-  EndingServer(const EndingServer&) = delete;
-  EndingServer& operator=(const EndingServer&) = delete;
-
-  void Answer(std::string bytes, ConnectionEnd end) {
-    m_state->m_bytes = std::move(bytes);
-    m_state->m_end = end;
-  }
-
-  uint16_t GetPort() const {
-    return m_state->m_acceptor.local_endpoint().port();
-  }
-  uint32_t CountRequests() const { return m_state->m_requests; }
-
- private:
-  struct State {
-    tcp::acceptor m_acceptor{
-        ThreadIoContext(),
-        tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)};
-    std::string m_bytes;
-    ConnectionEnd m_end = ConnectionEnd::kClose;
-    uint32_t m_requests = 0;
-  };
-
-  static void Serve(State& state, tcp::socket& client) {
-    std::string input;
-    if (AwaitOperation([&](auto handler) {
-          boost::asio::async_read_until(
-              client, boost::asio::dynamic_buffer(input), "\r\n\r\n", handler);
-        })) {
-      return;
-    }
-    ++state.m_requests;
-    AwaitOperation([&](auto handler) {
-      boost::asio::async_write(client, boost::asio::buffer(state.m_bytes),
-                               handler);
-    });
-    if (state.m_end == ConnectionEnd::kReset) {
-      client.set_option(boost::asio::socket_base::linger(true, 0));
-    }
-    client.close();
-  }
-
-  std::shared_ptr<State> m_state = std::make_shared<State>();
-};
-
 /// A handler and a server whose responses end their connections.
 class ResponseEndTest : public testing::Test {
  protected:
@@ -138,7 +69,21 @@
     return length;
   }
 
-  EndingServer m_server;
+  void Serve(RawConnection& connection) {
+    if (connection.ReadUntil("\r\n\r\n").empty()) {
+      return;
+    }
+    ++m_requests;
+    connection.Write(m_response);
+    if (m_end == ConnectionEnd::kReset) {
+      connection.Reset();
+    }
+  }
+
+  std::string m_response;
+  ConnectionEnd m_end = ConnectionEnd::kClose;
+  uint32_t m_requests = 0;
+  RawServer m_server{[this](RawConnection& connection) { Serve(connection); }};
   TestRequestPath m_path;
 };
 
@@ -150,7 +95,8 @@
 // run.
 TEST_P(ResponseFormTest, ResponseThatEndsItsConnectionIsPassedOn) {
   const EndingResponse& sent = GetParam();
-  m_server.Answer(sent.m_head + "\r\n" + sent.m_body, sent.m_end);
+  m_response = sent.m_head + "\r\n" + sent.m_body;
+  m_end = sent.m_end;
   for (int i = 0; i < 3; ++i) {
     const HttpResponse response = m_path.Handle();
     EXPECT_EQ(response.m_status, sent.m_status);
@@ -158,7 +104,7 @@
       EXPECT_EQ(ReadBody(response), sent.m_length);
     }
   }
-  EXPECT_GE(m_server.CountRequests(), 3U);
+  EXPECT_GE(m_requests, 3U);
 }
 
 std::vector<EndingResponse> EndingResponses() {
@@ -218,10 +164,9 @@
   m_path.m_permits.m_on = true;
   m_path.m_permits.m_state = PermitState::kGranted;
   m_path.m_permits.m_server = "server-1";
-  m_server.Answer(std::string("HTTP/1.1 200 OK\r\nConnection: close\r\n") +
-                      kLeavingField + ": 1\r\n" + kPauseField +
-                      ": 500\r\nContent-Length: 0\r\n\r\n",
-                  ConnectionEnd::kClose);
+  m_response = std::string("HTTP/1.1 200 OK\r\nConnection: close\r\n") +
+               kLeavingField + ": 1\r\n" + kPauseField +
+               ": 500\r\nContent-Length: 0\r\n\r\n";
   EXPECT_EQ(m_path.Handle().m_status, 200);
   ASSERT_EQ(m_path.m_permits.m_returns.size(), 1U);
   const PermitReturn& returned = m_path.m_permits.m_returns.front();
--- a/tests/platform/server_control_client_test.cc
+++ b/tests/platform/server_control_client_test.cc
@@ -2,20 +2,14 @@
 
 #include <gtest/gtest.h>
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/fiber/operations.hpp>
-#include <memory>
 
-#include "runtime/fiber_scheduler.h"
-#include "runtime/fiber_wait.h"
 #include "runtime/http_server.h"
+#include "support/raw_server.h"
 
 namespace foxtail {
 namespace {
 
-using boost::asio::ip::tcp;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -68,70 +62,38 @@
             ServerCallOutcome::kDone);
 }
 
+std::string BuildResponse(const std::string& call) {
+  constexpr const char* kEnd = "Content-Length: 0\r\n\r\n";
+  if (call.find(std::string(": ") + kServer + "\r\n") == std::string::npos) {
+    return std::string("HTTP/1.1 421 Misdirected Request\r\n") + kEnd;
+  }
+  const bool is_release = call.starts_with("POST /release");
+  return std::string("HTTP/1.1 200 OK\r\n") +
+         (is_release ? "X-Foxtailcart-Handover: h\r\n" : "") + kEnd;
+}
+
 /// Fake of a faulty server: when it takes a call on a connection that it has
 /// answered on before, it sends its last response once more. Its own response
 /// follows after the time that a release takes.
 class FakeCopyingServer {
  public:
-  FakeCopyingServer() {
-    StartFiber([state = m_state] {
-      while (true) {
-        auto client = std::make_shared<tcp::socket>(ThreadIoContext());
-        if (AwaitOperation([&](auto handler) {
-              state->m_acceptor.async_accept(*client, handler);
-            })) {
-          return;
-        }
-        StartFiber([state, client] { Serve(*state, *client); });
-      }
-    });
-  }
-  ~FakeCopyingServer() { m_state->m_acceptor.close(); }
-
-  FakeCopyingServer(const FakeCopyingServer&) = delete;
-  FakeCopyingServer& operator=(const FakeCopyingServer&) = delete;
-
   std::string GetAddress() const {
-    return "127.0.0.1:" +
-           std::to_string(m_state->m_acceptor.local_endpoint().port());
+    return "127.0.0.1:" + std::to_string(m_server.GetPort());
   }
 
  private:
-  struct State {
-    tcp::acceptor m_acceptor{
-        ThreadIoContext(),
-        tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)};
-  };
-
-  static std::string BuildResponse(const std::string& call) {
-    constexpr const char* kEnd = "Content-Length: 0\r\n\r\n";
-    if (call.find(std::string(": ") + kServer + "\r\n") == std::string::npos) {
-      return std::string("HTTP/1.1 421 Misdirected Request\r\n") + kEnd;
-    }
-    const bool is_release = call.starts_with("POST /release");
-    return std::string("HTTP/1.1 200 OK\r\n") +
-           (is_release ? "X-Foxtailcart-Handover: h\r\n" : "") + kEnd;
-  }
-
-  static void Serve(State&, tcp::socket& client) {
+  static void Serve(RawConnection& connection) {
     std::string last_response;
-    std::string input;
-    while (true) {
-      if (AwaitOperation([&](auto handler) {
-            boost::asio::async_read_until(
-                client, boost::asio::dynamic_buffer(input), "}", handler);
-          })) {
-        return;
-      }
-      boost::system::error_code ignored;
-      boost::asio::write(client, boost::asio::buffer(last_response), ignored);
+    std::string call;
+    while (!(call = connection.ReadUntil("}")).empty()) {
+      connection.Write(last_response);
       boost::this_fiber::sleep_for(milliseconds(50));
-      last_response = BuildResponse(std::exchange(input, {}));
-      boost::asio::write(client, boost::asio::buffer(last_response), ignored);
+      last_response = BuildResponse(call);
+      connection.Write(last_response);
     }
   }
 
-  std::shared_ptr<State> m_state = std::make_shared<State>();
+  RawServer m_server{&Serve};
 };
 
 // A second copy of the response to a grant completed a release: the keys moved
