Gateway: a copy of a refusal makes no other request run twice

Cause: a response is matched with its request by the id that it carries.

Change: `ServerResponse` tells whether the response carried the id of the request. After one that did not, the connection is not used again, so a copy of it meets no other request. By induction no connection that is used again has ever brought a refusal without an id. Refusals with an id keep their connection, since a copy is known by the id.

Weighed: not to believe such a refusal on a connection that was used before would turn most refusals of full servers into failures of requests that did not run. The price is a new connection after each refusal without an id.

--- a/src/gateway/front_end.h
+++ b/src/gateway/front_end.h
@@ -48,6 +48,10 @@
 /// The parts of a backend server's response that routing decisions use.
 struct ServerResponse {
   ResponseKind m_kind = ResponseKind::kInvalid;
+
+  /// The response carries the id of the request, so that it is known not to be
+  /// a second copy of an earlier one on the connection.
+  bool m_is_identified = false;
   std::optional<LoadReport> m_load;
 
   /// The server is about to shut down and wants no further requests.
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -816,9 +816,14 @@
       request,
       {server.m_id, context.WorkspaceName(), context.m_deadline - started_at});
   ExchangeOptions options;
+  // Servers may send a response twice. A refusal without the id of its request
+  // could not be told from a second copy of an earlier one, so no connection is
+  // used again after such a refusal.
   options.m_matches_request = [&](const HttpResponse& received) {
-    return m_front_end.Classify(context.m_request, received).m_kind !=
-           ResponseKind::kInvalid;
+    const ServerResponse of_request =
+        m_front_end.Classify(context.m_request, received);
+    return of_request.m_kind != ResponseKind::kInvalid &&
+           of_request.m_is_identified;
   };
   options.m_force_new_connection = context.m_attempts > 1;
   options.m_max_buffered_body = kMaxBufferedBody;
--- a/tests/gateway/request_handler_test.cc
+++ b/tests/gateway/request_handler_test.cc
@@ -5,6 +5,7 @@
 #include "runtime/fiber_scheduler.h"
 #include "runtime/http_server.h"
 #include "support/fake_request_path.h"
+#include "support/raw_server.h"
 
 namespace foxtail {
 namespace {
@@ -109,5 +110,48 @@
   EXPECT_GT(m_other_fiber_runs, 0U);
 }
 
+/// A server that refuses the first request on each connection without the id of
+/// the request. When it takes another one there, it sends the refusal once more
+/// and runs the request.
+class FakeRefusingServer {
+ public:
+  FakeRefusingServer()
+      : m_server([this](RawConnection& connection) { Serve(connection); }) {}
+
+  uint16_t GetPort() const { return m_server.GetPort(); }
+
+  uint32_t m_refused = 0;
+  uint32_t m_run = 0;
+
+ private:
+  void Serve(RawConnection& connection) {
+    const std::string refusal = std::string("HTTP/1.1 503 Full\r\n") +
+                                kNotRunField + ": 1\r\n" + kNoIdField +
+                                ": 1\r\nContent-Length: 0\r\n\r\n";
+    for (int i = 0; !connection.ReadUntil("\r\n\r\n").empty(); ++i) {
+      ++(i == 0 ? m_refused : m_run);
+      connection.Write(refusal);
+    }
+  }
+
+  RawServer m_server;
+};
+
+// A second copy of a refusal was taken for the refusal of the next request on
+// the connection, which was sent on and ran twice.
+TEST(RefusalTest, CopyOfARefusalIsNotTakenForThatOfAnotherRequest) {
+  FakeRefusingServer server;
+  TestRequestPath path;
+  path.m_permits.m_on = false;
+  auto snapshot = BuildTestSnapshot();
+  AddTestServer(*snapshot, "server-1", server.GetPort());
+  path.m_handler->OnSnapshot(std::move(snapshot));
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_EQ(path.Handle().m_status, 503);
+  }
+  EXPECT_GE(server.m_refused, 5U);
+  EXPECT_EQ(server.m_run, 0U);
+}
+
 }  // namespace
 }  // namespace foxtail
--- a/tests/support/fake_request_path.h
+++ b/tests/support/fake_request_path.h
@@ -15,6 +15,7 @@
 inline constexpr const char* kPauseField = "pause-ms";
 inline constexpr const char* kNotRunField = "not-run";
 inline constexpr const char* kOtherRequestField = "other-request";
+inline constexpr const char* kNoIdField = "no-id";
 
 // No request asks so often for a permit in its time. The limit ends a request
 // that never stops asking.
@@ -43,6 +44,7 @@
     classified.m_leaving = response.m_headers.Get(kLeavingField).has_value();
     classified.m_pause = std::chrono::milliseconds(
         std::stoi(response.m_headers.GetOr(kPauseField, "0")));
+    classified.m_is_identified = !response.m_headers.Get(kNoIdField);
     if (response.m_headers.Get(kOtherRequestField)) {
       classified.m_kind = ResponseKind::kInvalid;
     } else if (response.m_headers.Get(kNotRunField)) {
