Platform: an incomplete registration is none of a server

Cause: the decoder took a registration without `slots`, `version`, `warmup_left_s` or `sequence` for a valid one, and the youngest valid registration at an address ends the others there.

The registrations that the tests write are complete now.

--- a/tests/integration/gateway_test.cc
+++ b/tests/integration/gateway_test.cc
@@ -110,8 +110,9 @@
     WriteConfiguration(3, "k");
     Write("servers", "i-1",
           R"({"address":"127.0.0.1:)" + std::to_string(m_backend_port) +
-              R"(","born":1,"info":{"service":"s","zone":"dc-1","slots":2},
-              "status":{"state":"ready","warmup_left_s":0}})");
+              R"(","born":1,"info":{"service":"s","version":"v1",
+              "zone":"dc-1","slots":2},
+              "status":{"state":"ready","sequence":1,"warmup_left_s":0}})");
   }
 
   int ReadyStatus(uint16_t port) {
--- a/tests/integration/uncontrolled_clients_test.cc
+++ b/tests/integration/uncontrolled_clients_test.cc
@@ -209,8 +209,8 @@
     Write("servers", service + "-1",
           R"({"address":"127.0.0.1:)" + std::to_string(port) +
               R"(","born":1,"info":{"service":")" + service +
-              R"(","zone":"local","slots":2},
-              "status":{"state":"ready","warmup_left_s":0}})");
+              R"(","version":"v1","zone":"local","slots":2},
+              "status":{"state":"ready","sequence":1,"warmup_left_s":0}})");
   }
 
   void Write(const std::string& table,
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -15,6 +15,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::string_literals::operator""s;
 
 constexpr const char* kConfig = R"({"version":"0000000c","routes":[
   {"name":"r","host":"a.example","prefix":"/x/","route_type":"unsafe",
@@ -26,8 +27,9 @@
   "tenants":[{"name":"w","api_keys":["k"],"rate_per_s":73,"burst":70}]})";
 
 constexpr const char* kServer =
-    R"({"address":"10.0.0.9:80","born":17,"info":{"service":"s","zone":"z",
-    "slots":2},"status":{"state":"draining","warmup_left_s":1.5}})";
+    R"({"address":"10.0.0.9:80","born":17,"info":{"service":"s","version":"v1",
+    "zone":"z","slots":2},
+    "status":{"state":"draining","sequence":4,"warmup_left_s":1.5}})";
 
 ErrorCode ErrorCodeOf(const std::function<void()>& body) {
   try {
@@ -122,6 +124,26 @@
   }
 }
 
+// An entry of another writer, complete but for its slots, ended the live server
+// whose address it had: the keys moved while that server held them.
+TEST(OperatorRowsDecoderTest, IncompleteServersAreRejected) {
+  const std::string good = kServer;
+  OperatorRowsDecoder().DecodeServer("i-1", good);
+  for (const std::string field : {"\"version\":\"v1\"", "\"slots\":2",
+                                  "\"sequence\":4", "\"warmup_left_s\":1.5"}) {
+    const std::string name = field.substr(0, field.find(':'));
+    for (const std::string& other :
+         {"\"other\":1"s, name + ":null", name + ":[]", name + ":true"}) {
+      std::string bad = good;
+      bad.replace(bad.find(field), field.size(), other);
+      EXPECT_EQ(
+          ErrorCodeOf([&] { OperatorRowsDecoder().DecodeServer("i-1", bad); }),
+          ErrorCode::kMessageMalformed)
+          << bad;
+    }
+  }
+}
+
 // A row of 1,000 opening brackets overflowed the stack of a fiber: all gateways
 // crashed, and again at each start while the row was there.
 TEST(OperatorRowsDecoderTest, DeeplyNestedRowsAreRejectedOnAFiber) {
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -191,7 +191,8 @@
   WriteStoreRow(
       "servers", ServerId(server),
       fmt::format(R"({{"address":"{}","born":{},"info":{{"service":"{}",)"
-                  R"("zone":"{}","slots":4}},"status":{{"state":"{}",)"
+                  R"("version":"v1","zone":"{}","slots":4}},)"
+                  R"("status":{{"state":"{}","sequence":1,)"
                   R"("warmup_left_s":0}}}})",
                   LoopbackAddress(row.m_link_port).ToString(),
                   row.m_incarnation, sharded ? "keyed" : "open",
