--- a/src/gateway/stall_detector.h
+++ b/src/gateway/stall_detector.h
@@ -8,8 +8,9 @@
 
 /// Times of a `StallDetector`.
 struct StallDetectorSettings {
-  /// A thread that has not run its fibers for this long counts as stalled. A
-  /// host with a tenth of a core runs all its ready fibers in less.
+  /// A thread that has not run its fibers for this long counts as stalled. By
+  /// then the load balancer, which checks the readiness each second and allows
+  /// for one miss, has taken the host out.
   Duration m_threshold = std::chrono::seconds(3);
 
   /// Interval between checks.
