Gateway: wait for the first server of a service

It refuses at once when the servers have been read and none can be used, and took a service that has had no server yet for one whose servers have gone.

Change: the request path remembers which services have had servers. A request for one that has had none waits as before; if its servers have gone, it is refused at once.

--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -221,6 +221,7 @@
     std::shared_ptr<const RoutingSnapshot> snapshot) {
   m_snapshot = std::move(snapshot);
   m_permits.OnSnapshot(m_snapshot);
+  RecordServices();
   m_rollout_splitter.Expire(*m_snapshot);
   m_rollout_meter.OnSnapshot(*m_snapshot);
   m_snapshot_changed.Notify();
@@ -229,6 +230,20 @@
   }
 }
 
+// Remembers which of the configured services have had servers.
+void RequestHandler::RecordServices() {
+  for (const auto& [service, endpoints] : m_snapshot->m_endpoints) {
+    if (!endpoints.m_servers.empty()) {
+      m_services_with_servers.insert(service);
+    }
+  }
+  if (HasConfiguration()) {
+    std::erase_if(m_services_with_servers, [this](const std::string& service) {
+      return !m_snapshot->m_routes->FindService(service);
+    });
+  }
+}
+
 uint64_t RequestHandler::ConfigurationVersion() const {
   return HasConfiguration() ? m_snapshot->m_routes->GetConfig().m_version : 0;
 }
@@ -462,11 +477,12 @@
   return endpoints && HasUsableServer(*endpoints, m_send_system, Clock::now());
 }
 
-// Keys change hands within moments. Servers that any request can be sent to
-// register rarely, so a request that finds none is refused at once if this host
-// has read which servers there are.
-bool RequestHandler::MayServerCome(const RequestContext& context) {
-  return context.m_sharded || !context.m_snapshot->m_servers_known;
+// Keys change hands within moments, and the first servers of a new service may
+// register at any moment. Servers that have gone are not followed by others so
+// soon, so a request that finds them gone is refused at once.
+bool RequestHandler::MayServerCome(const RequestContext& context) const {
+  return context.m_sharded || !context.m_snapshot->m_servers_known ||
+         !m_services_with_servers.contains(context.m_service);
 }
 
 const RoutedServer* RequestHandler::FindTarget(RequestContext& context) {
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -126,7 +126,8 @@
   bool AcquireColdStart(RequestContext& context, const RoutedServer& server);
   bool UsesPermits(const RequestContext& context) const;
   bool HasTarget(RequestContext& context);
-  static bool MayServerCome(const RequestContext& context);
+  void RecordServices();
+  bool MayServerCome(const RequestContext& context) const;
   const RoutedServer* AcquireServer(RequestContext& context);
   const RoutedServer* AcquireOwnTurn(RequestContext& context);
   const RoutedServer* AcquirePermit(RequestContext& context);
@@ -178,6 +179,9 @@
   std::shared_ptr<const RoutingSnapshot> m_snapshot;
   std::map<std::string, RetryBudget> m_retry_budgets;
 
+  /// Configured services that have had servers since this process started.
+  std::set<std::string> m_services_with_servers;
+
   /// Events that wake the requests queued for a server, by ticket.
   std::unordered_map<uint64_t, FiberEvent*> m_queued_events;
   FiberEvent m_snapshot_changed;
--- a/tests/gateway/request_handler_test.cc
+++ b/tests/gateway/request_handler_test.cc
@@ -98,6 +98,22 @@
   EXPECT_EQ(Handle().m_status, 200);
 }
 
+// A request for a service whose first server was about to be known was refused.
+TEST_F(RequestHandlerTest, RequestWaitsForTheFirstServerOfAService) {
+  TestRequestPath path;
+  auto without_server = BuildTestSnapshot();
+  without_server->m_servers_known = true;
+  path.m_handler->OnSnapshot(without_server);
+  StartFiber([&] {
+    boost::this_fiber::sleep_for(milliseconds(50));
+    auto snapshot = BuildTestSnapshot();
+    snapshot->m_servers_known = true;
+    AddTestServer(*snapshot, "server-1", m_server.GetPort());
+    path.m_handler->OnSnapshot(std::move(snapshot));
+  });
+  EXPECT_EQ(path.Handle().m_status, 200);
+}
+
 // Whatever the steps on the way to a server disagree about, a request lets
 // other fibers run and ends by its deadline.
 TEST_F(RequestHandlerTest, RequestThatFindsNoServerAgainAndAgainEndsInTime) {
