--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -65,6 +65,19 @@
         self.version = 0
         self.changed = asyncio.Event()
         self.began = time.monotonic()
+        self.era = 0
+        self.away = False
+
+    def take_copy(self):
+        self.copy = dict(self.rows), self.version
+
+    def come_back(self):
+        """The store is back from its copy, in the next era."""
+        self.rows, self.version = dict(self.copy[0]), self.copy[1]
+        self.era += 1
+        self.away = False
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     async def start(self):
         self.server = await asyncio.start_server(
@@ -116,6 +129,8 @@
     async def answer(self, method, target, body):
         url = urlsplit(target)
         query = dict(parse_qsl(url.query, keep_blank_values=True))
+        if self.away:
+            return 503, {}
         if url.path == "/rows-tx" and method == "POST":
             return self.transact(json.loads(body))
         if url.path == "/rows-get":
@@ -126,6 +141,8 @@
             after = int(query["after"])
             until = time.monotonic() + int(query["wait_ms"]) / 1000
             while True:
+                if after > self.version:
+                    return 410, {}
                 rows = self.listed(query["table"], "", "", after)
                 left = until - time.monotonic()
                 if rows or left <= 0:
@@ -146,8 +163,9 @@
                 status, answer = await self.answer(method, target, body)
                 text = json.dumps(answer).encode()
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json"
-                             b"\r\nContent-Length: %d\r\n\r\n%s" %
-                             (status, len(text), text))
+                             b"\r\n%sContent-Length: %d\r\n\r\n%s" %
+                             (status, b"Store-Era: %d\r\n" % self.era
+                              if self.era else b"", len(text), text))
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
