--- a/src/core/error.cc
+++ b/src/core/error.cc
@@ -57,7 +57,9 @@
     ErrorInfo{ErrorCode::kAccessStale, "access_stale", 503, kNotRun,
               "this entry has had no fresh word on API keys"},
     ErrorInfo{ErrorCode::kConfigurationUnknown, "configuration_unknown", 503,
-              kNotRun, "this entry has not read a configuration yet"},
+              kNotRun,
+              "this entry has not read a configuration yet, or only one of an "
+              "old copy of the store while a newer one was in force"},
     ErrorInfo{ErrorCode::kAnswerInvalid, "answer_invalid", 502, kUnknown,
               "the backend server's answer was incomplete or not its own"},
     ErrorInfo{ErrorCode::kServerSaturated, "server_saturated", 503, kNotRun,
--- a/src/core/event.cc
+++ b/src/core/event.cc
@@ -98,6 +98,14 @@
               "maximum TTL."},
     EventInfo{kStoreEraChanged, "store_era_changed", "era",
               "The store has come back from an old copy."},
+    EventInfo{kStoreHistoryKnown, "store_history_known",
+              "era configuration evacuations servers",
+              "A member has told this process, which has started in a later "
+              "era of the store, what was in force before."},
+    EventInfo{kStoreHistoryUnknown, "store_history_unknown",
+              "era asked configuration",
+              "No member has told this process what was in force before the "
+              "era of the store; it goes by the copy."},
     EventInfo{kEvacuationChanged, "evacuation_changed", "data_centres",
               "The list of data centres to evacuate has changed."},
     EventInfo{kTokensIssued, "tokens_issued",
@@ -129,6 +137,9 @@
     EventInfo{kRoutesUnusable, "routes_unusable", "version routes first reason",
               "Routes of the configuration are of an unknown kind; their "
               "requests are refused."},
+    EventInfo{kConfigurationWithheld, "configuration_withheld", "version known",
+              "The configuration is of an old copy of the store; a newer one "
+              "was in force, so this one is not used."},
     EventInfo{kDispatchLeaseTaken, "dispatch_lease_taken", "cell server epoch",
               "This entry may send to the backend server."},
     EventInfo{kDispatchLeaseReleased, "dispatch_lease_released",
--- a/src/gateway/cluster_codec.cc
+++ b/src/gateway/cluster_codec.cc
@@ -25,7 +25,7 @@
 template <typename Archive>
 void serialize(Archive& archive, MemberRecord& m) {  // NOLINT
   archive(m.m_address, m.m_incarnation, m.m_data_centre, m.m_processor_share,
-          m.m_scheduling_address);
+          m.m_scheduling_address, m.m_configuration);
 }
 
 template <typename Archive>
@@ -71,7 +71,8 @@
 template <typename Archive>
 void serialize(Archive& archive, MemberReport& m) {  // NOLINT
   archive(m.m_address, m.m_incarnation, m.m_sequence, m.m_sent_at, m.m_members,
-          m.m_demands, m.m_loads, m.m_speeds);
+          m.m_configuration, m.m_operator_rows_version, m.m_demands, m.m_loads,
+          m.m_speeds);
 }
 
 template <typename Archive>
@@ -111,7 +112,7 @@
   archive(m.m_address, m.m_epoch, m.m_sequence, m.m_report_sent_at,
           m.m_leader_lease_version, m.m_shutting_down, m.m_relaying,
           m.m_store_reachable_for_ms, m.m_last_change_versions,
-          m.m_operator_read_age_ms, m.m_tokens.m_token_ttl,
+          m.m_configuration, m.m_operator_read_age_ms, m.m_tokens.m_token_ttl,
           m.m_tokens.m_grants);
 }
 
@@ -167,10 +168,28 @@
   archive(m.m_epoch, m.m_records);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, PastServer& m) {  // NOLINT
+  archive(m.m_id, m.m_incarnation, m.m_draining);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, HistoryRequest& m) {  // NOLINT
+  archive(m.m_address, m.m_era_version);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, HistoryResponse& m) {  // NOLINT
+  archive(m.m_era_version, m.m_configuration, m.m_complete, m.m_copy_versions,
+          m.m_operator_rows_kept_ms, m.m_kept_evacuations, m.m_past_servers);
+}
+
 namespace {
 
-constexpr uint8_t kReportTag = 1;
-constexpr uint8_t kReportResponseTag = 2;
+// 1 and 2 were the tags of reports and responses without the versions of the
+// configuration.
+constexpr uint8_t kReportTag = 10;
+constexpr uint8_t kReportResponseTag = 11;
 // 3 and 6 were the tags of relayed rows without changes of owners records, and
 // without the late grants of previous owners.
 constexpr uint8_t kRelayedRowsTag = 7;
@@ -178,6 +197,8 @@
 constexpr uint8_t kLeavingServersTag = 5;
 constexpr uint8_t kRolloutReportTag = 8;
 constexpr uint8_t kRolloutNoticeTag = 9;
+constexpr uint8_t kHistoryRequestTag = 12;
+constexpr uint8_t kHistoryResponseTag = 13;
 
 // An encoded record or message ends with a hash of all bytes before it.
 constexpr size_t kHashBytes = sizeof(uint64_t);
@@ -249,6 +270,12 @@
   if (const auto* notice = std::get_if<RolloutNotice>(&message)) {
     return Encode(kRolloutNoticeTag, *notice);
   }
+  if (const auto* request = std::get_if<HistoryRequest>(&message)) {
+    return Encode(kHistoryRequestTag, *request);
+  }
+  if (const auto* response = std::get_if<HistoryResponse>(&message)) {
+    return Encode(kHistoryResponseTag, *response);
+  }
   return Encode(kReportResponseTag, std::get<ReportResponse>(message));
 }
 
@@ -292,6 +319,10 @@
       archive(message.emplace<RolloutReport>());
     } else if (tag == kRolloutNoticeTag) {
       archive(message.emplace<RolloutNotice>());
+    } else if (tag == kHistoryRequestTag) {
+      archive(message.emplace<HistoryRequest>());
+    } else if (tag == kHistoryResponseTag) {
+      archive(message.emplace<HistoryResponse>());
     } else {
       throw Error(ErrorCode::kMessageMalformed, "unknown kind");
     }
--- a/src/gateway/cluster_codec.h
+++ b/src/gateway/cluster_codec.h
@@ -4,6 +4,7 @@
 #include <variant>
 
 #include "gateway/cluster_records.h"
+#include "gateway/era_history.h"
 #include "gateway/relayed_rows.h"
 #include "gateway/rollout_records.h"
 
@@ -16,7 +17,9 @@
                                     LeaderAnnouncement,
                                     LeavingServersNotice,
                                     RolloutReport,
-                                    RolloutNotice>;
+                                    RolloutNotice,
+                                    HistoryRequest,
+                                    HistoryResponse>;
 
 /// Encode and decode records and messages in a compact binary format with a
 /// checksum. The decoders throw `Error(kMessageMalformed)`.
--- a/src/gateway/cluster_records.h
+++ b/src/gateway/cluster_records.h
@@ -39,6 +39,10 @@
   /// IP:PORT that receives requests for permits.
   std::string m_scheduling_address = {};
 
+  /// The newest version of the configuration that the process knew when it
+  /// registered.
+  uint64_t m_configuration = 0;
+
   bool operator==(const MemberRecord&) const = default;
 };
 
@@ -144,6 +148,11 @@
 
   /// Number of hosts among which the sender divides the workspaces' rates.
   uint32_t m_members = 0;
+
+  /// The newest version of the configuration that the sender knows, and of the
+  /// changes of the operators' rows that it has applied.
+  uint64_t m_configuration = 0;
+  uint64_t m_operator_rows_version = 0;
   std::vector<TokenDemand> m_demands;
   std::vector<ServiceLoad> m_loads;
   std::vector<ServerSpeed> m_speeds;
@@ -196,6 +205,9 @@
   /// applied.
   std::array<uint64_t, kWatchedKinds> m_last_change_versions{};
 
+  /// The newest version of the configuration that the leader knows.
+  uint64_t m_configuration = 0;
+
   /// Age of the leader's last read of the operators' rows, rounded up,
   /// milliseconds.
   uint32_t m_operator_read_age_ms = 0;
--- a/src/gateway/control_thread.cc
+++ b/src/gateway/control_thread.cc
@@ -6,6 +6,7 @@
 
 #include "core/digest.h"
 #include "core/error.h"
+#include "gateway/era_history_system.h"
 #include "gateway/gateway_tick.h"
 #include "gateway/leadership_system.h"
 #include "gateway/member_system.h"
@@ -44,6 +45,10 @@
 // delay.
 constexpr milliseconds kAddressRetryDelay{100};
 
+// Longest time until a table is read after it may be: the end of the wait for
+// the history of an era is notified.
+constexpr std::chrono::seconds kHistoryCheckInterval{1};
+
 constexpr size_t kMaxDatagramSize = 60 * 1024;  // bytes
 
 udp::endpoint ParseEndpoint(const std::string& text) {
@@ -167,6 +172,8 @@
       // the store no longer matter.
       table.m_failing = false;
       m_watch_needed.WaitUntil(m_tables.m_relayed_until);
+    } else if (!EraHistorySystem::MayApply(m_tables, table.m_kind)) {
+      m_history_settled.WaitUntil(Clock::now() + kHistoryCheckInterval);
     } else if (!m_store_retry.TakeTry(Clock::now())) {
       m_store_reachable.WaitUntil(m_store_retry.GetNextTry());
     } else if (!ReadOrWatch(table) && !table.m_failing) {
@@ -188,7 +195,7 @@
     return true;
   }
   const bool applied = ApplyResult(table, result, complete, sent_at);
-  if (applied && !result.m_rows.empty()) {
+  if (applied && table.m_loaded && !result.m_rows.empty()) {
     boost::this_fiber::sleep_for(table.m_batch_delay);
   }
   return applied;
@@ -224,6 +231,9 @@
   if (!succeeded) {
     return false;
   }
+  if (!EraHistorySystem::MayApply(m_tables, table.m_kind)) {
+    return true;
+  }
   // A result older than one already applied would revert changes.
   if (result.m_version < progress.m_applied_version) {
     return !complete;
@@ -364,7 +374,11 @@
 }
 
 void ControlThread::Tick() {
+  const EraHistory history = m_tables.m_store_era.m_history;
   RunGatewayTick(m_tables, ReadClocks());
+  if (m_tables.m_store_era.m_history != history) {
+    m_history_settled.Notify();
+  }
   Flush();
   if (m_tables.IsLeading(ReadClocks())) {
     m_watch_needed.Notify();
@@ -465,6 +479,23 @@
   Flush();
 }
 
+void ControlThread::Receive(const HistoryRequest& request, const Now& now) {
+  StoreEraSystem::OnMessage(m_tables, request.m_era_version, now);
+  FollowEra();
+  if (auto response = EraHistorySystem::OnRequest(m_tables, now)) {
+    Execute(SendDatagramCommand{{request.m_address}, std::move(*response)});
+  }
+}
+
+void ControlThread::Receive(const HistoryResponse& response, const Now& now) {
+  if (StoreEraSystem::OnMessage(m_tables, response.m_era_version, now)) {
+    EraHistorySystem::OnResponse(m_tables, response, now);
+  }
+  FollowEra();
+  m_history_settled.Notify();
+  Flush();
+}
+
 void ControlThread::Receive(RelayedRows& relayed, const Now& now) {
   if (const auto forward = RelaySystem::TakeForward(m_tables, relayed)) {
     Execute(*forward);
--- a/src/gateway/control_thread.h
+++ b/src/gateway/control_thread.h
@@ -118,6 +118,8 @@
   void Receive(const LeavingServersNotice& notice, const Now& now);
   void Receive(const RolloutReport& report, const Now& now);
   void Receive(const RolloutNotice& notice, const Now& now);
+  void Receive(const HistoryRequest& request, const Now& now);
+  void Receive(const HistoryResponse& response, const Now& now);
   void ProbeLoop();
   void Probe(WatchedTable& table);
   void RestartWatches();
@@ -160,6 +162,10 @@
 
   /// Notified when this process must watch the store itself.
   FiberEvent m_watch_needed;
+
+  /// Notified when it is known whether a member tells what was in force before
+  /// the era.
+  FiberEvent m_history_settled;
   BootTime m_published_read_at;
 
   /// Era in which the watched tables have been read or are being read.
--- a/src/gateway/directory_system.cc
+++ b/src/gateway/directory_system.cc
@@ -7,6 +7,7 @@
 
 #include "core/error.h"
 #include "gateway/cold_start_limit.h"
+#include "gateway/era_history_system.h"
 #include "gateway/rollout_system.h"
 #include "gateway/store_era_system.h"
 #include "routing/routing_rules.h"
@@ -304,13 +305,16 @@
   });
 }
 
-// At the first read of a table in an era of the store that is not the first one
-// here, records which rows may be of the copy. Those written later in the era
-// have higher versions.
+// At the first read of a table in a later era of the store, records which rows
+// may be of the copy. Those written later in the era have higher versions. A
+// process that has started in the era may have been told.
 void RecordCopy(GatewayTables& tables,
                 WatchedKind kind,
                 const std::vector<StoredRow>& rows) {
-  if (!tables.m_progress[kind].m_loaded || tables.IsLoaded(kind)) {
+  const bool was_told = tables.m_store_era.m_history == EraHistory::kKnown &&
+                        !tables.m_progress[kind].m_loaded;
+  if (tables.m_store_era.m_history == EraHistory::kNone || was_told ||
+      tables.IsLoaded(kind)) {
     return;
   }
   for (const StoredRow& row : rows) {
@@ -322,8 +326,7 @@
 bool MayBeOfCopy(const GatewayTables& tables,
                  WatchedKind kind,
                  const StoredRow& row) {
-  return tables.m_store_era.m_changed &&
-         row.m_version <= tables.m_store_era.m_copy_versions[kind];
+  return row.m_version <= tables.m_store_era.m_copy_versions[kind];
 }
 
 // Puts the evacuations in force that the rows say, but for those that are kept.
@@ -362,15 +365,19 @@
   }
 }
 
-void ReleaseEvacuations(GatewayTables& tables, const Now& now) {
+// Lets the operators' rows as read count once operators have had time to write
+// them again.
+void ReleaseOperatorRows(GatewayTables& tables, const Now& now) {
   StoreEraState& state = tables.m_store_era;
-  if (state.m_kept_evacuations.empty()) {
+  if (state.m_kept_evacuations.empty() &&
+      !state.m_configuration_may_be_of_copy) {
     return;
   }
   if (now.m_steady < state.m_operator_rows_kept_until) {
     tables.WakeAt(state.m_operator_rows_kept_until);
     return;
   }
+  state.m_configuration_may_be_of_copy = false;
   state.m_kept_evacuations.clear();
   SetEvacuations(tables, now);
   tables.m_snapshot_due = true;
@@ -414,17 +421,28 @@
          entry.m_incarnation <= gone->second.m_incarnation;
 }
 
+// Returns whether a server was draining before the store came back.
+bool WasDraining(const GatewayTables& tables,
+                 const ServerRow* server,
+                 const BackendServerEntry& entry) {
+  if (server) {
+    return server->m_entry.m_draining &&
+           server->m_entry.m_incarnation == entry.m_incarnation;
+  }
+  const auto draining = tables.m_store_era.m_draining_servers.find(entry.m_id);
+  return draining != tables.m_store_era.m_draining_servers.end() &&
+         draining->second == entry.m_incarnation;
+}
+
 void RememberGoneServer(GatewayTables& tables,
                         const ServerRow& server,
                         const Now& now) {
   std::erase_if(tables.m_gone_servers, [&now](const auto& gone) {
     return now.m_steady - gone.second.m_gone_at > kGoneServerMemory;
   });
-  int64_t newest = server.m_entry.m_incarnation;
-  for (const int64_t replaced : server.m_replaced_incarnations) {
-    newest = std::max(newest, replaced);
-  }
-  tables.m_gone_servers[server.m_entry.m_id] = {newest, now.m_steady};
+  tables.m_gone_servers[server.m_entry.m_id] = {
+      FindNewestIncarnation(server), now.m_steady,
+      EraOfVersion(server.m_row_version)};
 }
 
 bool HasKey(const std::vector<StoredRow>& rows, const std::string& key) {
@@ -586,11 +604,17 @@
   }
   try {
     RoutingConfig config = m_decoder.DecodeConfiguration(row.m_value);
+    tables.m_store_era.m_configuration_may_be_of_copy =
+        MayBeOfCopy(tables, kOperatorRows, row);
     if (tables.m_routes && !IsNewer(config, tables.m_routes->GetConfig())) {
       return;
     }
     const uint64_t version = config.m_version;
     tables.m_routes = std::make_shared<const RouteIndex>(std::move(config));
+    if (!tables.IsConfigurationUsable()) {
+      LogWithheldConfiguration(tables);
+      return;
+    }
     tables.m_events.push_back(
         {EventNumber::kConfigurationInForce, {{"version", version}}});
     LogUnusableRoutes(tables, tables.m_routes->GetConfig());
@@ -722,9 +746,7 @@
       }
       return false;
     }
-    entry.m_draining = entry.m_draining ||
-                       (server && server->m_entry.m_draining &&
-                        server->m_entry.m_incarnation == entry.m_incarnation);
+    entry.m_draining = entry.m_draining || WasDraining(tables, server, entry);
   }
   if (!server) {
     const ServerId id = tables.m_servers.Insert({});
@@ -782,6 +804,8 @@
   }
   if (complete) {
     tables.m_members.ForEach([&](MemberId id, const MemberRow& member) {
+      EraHistorySystem::OnConfigurationKnown(tables,
+                                             member.m_record.m_configuration);
       if (member.m_unconfirmed_until == TimePoint() &&
           !HasKey(rows, MemberKey(tables, member.m_record.m_address))) {
         tables.m_members.Erase(id);
@@ -803,7 +827,7 @@
 void DirectorySystem::Run(GatewayTables& tables, const Now& now) {
   EndHolds(tables, now);
   DropUnconfirmedMembers(tables, now);
-  ReleaseEvacuations(tables, now);
+  ReleaseOperatorRows(tables, now);
   tables.m_servers.ForEach([&](ServerId id, ServerRow& server) {
     if (server.m_missing && now.m_steady < server.m_missing_until) {
       tables.WakeAt(server.m_missing_until);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -96,6 +96,11 @@
   Duration m_era_member_grace = std::chrono::seconds(5);
   Duration m_era_operator_grace = std::chrono::seconds(60);
 
+  /// For how long a process that has started in a later era of the store waits
+  /// for a member to tell what was in force before. Members respond within
+  /// milliseconds; if all have ended, service begins this much later.
+  Duration m_era_history_timeout = std::chrono::milliseconds(400);
+
   /// Interval between moves that balance load, so that the effect of one move
   /// is measured before the next.
   Duration m_rebalance_interval = std::chrono::milliseconds(600);
--- a/src/gateway/gateway_tables.cc
+++ b/src/gateway/gateway_tables.cc
@@ -70,6 +70,14 @@
              : a.m_address < b.m_address;
 }
 
+int64_t FindNewestIncarnation(const ServerRow& server) {
+  int64_t newest = server.m_entry.m_incarnation;
+  for (const int64_t replaced : server.m_replaced_incarnations) {
+    newest = std::max(newest, replaced);
+  }
+  return newest;
+}
+
 void LogUnreadableRow(GatewayTables& tables,
                       const std::string& table,
                       const std::string& key,
@@ -79,6 +87,13 @@
        {{"table", table}, {"key", key}, {"error", error}}});
 }
 
+void LogWithheldConfiguration(GatewayTables& tables) {
+  tables.m_events.push_back(
+      {EventNumber::kConfigurationWithheld,
+       {{"version", tables.m_routes->GetConfig().m_version},
+        {"known", tables.m_store_era.m_known_configuration}}});
+}
+
 bool IsEligible(const ServerRow& server) {
   return server.m_registered && !server.m_entry.m_draining &&
          !server.m_evacuated && !server.m_leaving;
--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -15,6 +15,7 @@
 #include "core/time.h"
 #include "gateway/backend_server.h"
 #include "gateway/cluster_codec.h"
+#include "gateway/era_history.h"
 #include "gateway/era_key.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/member_contact.h"
@@ -310,6 +311,18 @@
   BootTime m_continue_until;
 };
 
+/// What a process knows of the time before the present era of the store.
+enum class EraHistory {
+  /// The store has been in its first era for as long as is known.
+  kNone,
+  /// The process has started in the era and waits for a member to tell.
+  kPending,
+  /// The process has run through the change, or a member has told.
+  kKnown,
+  /// No member has told in time.
+  kUnknown,
+};
+
 /// What this process knows of the store's era.
 struct StoreEraState {
   /// The newest era that this process knows of; unset before the first response
@@ -325,6 +338,25 @@
   /// this version may be of the copy.
   std::array<uint64_t, kWatchedKinds> m_copy_versions{};
 
+  /// While the history is pending: the next member to ask, when the next ones
+  /// are asked, and until when this process waits; unset before the first
+  /// request.
+  EraHistory m_history = EraHistory::kNone;
+  size_t m_next_candidate = 0;
+  TimePoint m_next_history_request_at;
+  TimePoint m_history_wait_until;
+
+  /// The newest version of the configuration that another process is known to
+  /// have had in force. The configuration that was read last may be of the
+  /// copy; it is not used then if it is older, until its row is written in the
+  /// present era or the operators' rows of the copy count again.
+  uint64_t m_known_configuration = 0;
+  bool m_configuration_may_be_of_copy = false;
+
+  /// Servers that were draining before this process started, and their
+  /// incarnations.
+  std::map<std::string, int64_t> m_draining_servers;
+
   /// Evacuations as the rows say, and whether a data centre is evacuated in
   /// spite of that, until its row is written in the present era or the time is
   /// over, in which operators write their rows again.
@@ -341,6 +373,9 @@
 struct GoneServer {
   int64_t m_incarnation = 0;
   TimePoint m_gone_at;
+
+  /// Era of the server's last registration.
+  uint64_t m_era = 0;
 };
 
 /// How far this process has read a watched table. All versions are versions of
@@ -558,6 +593,13 @@
            EraOfVersion(m_progress[kind].m_applied_version) == GetEra();
   }
 
+  /// Returns whether there is a configuration and requests may be routed by it.
+  bool IsConfigurationUsable() const {
+    return m_routes && (!m_store_era.m_configuration_may_be_of_copy ||
+                        m_routes->GetConfig().m_version >=
+                            m_store_era.m_known_configuration);
+  }
+
   /// Returns whether calls that time out now may have done so because this
   /// process was late.
   bool WasLate(const Now& now) const {
@@ -588,12 +630,18 @@
 /// Ranks hosts by processor time, the strongest first, then by address.
 bool IsStronger(const MemberRecord& a, const MemberRecord& b);
 
+/// Returns the newest incarnation of a server that this process has seen.
+int64_t FindNewestIncarnation(const ServerRow& server);
+
 /// Queues the event that a row of the store cannot be decoded.
 void LogUnreadableRow(GatewayTables& tables,
                       const std::string& table,
                       const std::string& key,
                       const std::string& error);
 
+/// Queues the event that the configuration that was read last is not used.
+void LogWithheldConfiguration(GatewayTables& tables);
+
 /// Returns whether a server may receive keys or new requests.
 bool IsEligible(const ServerRow& server);
 
--- a/src/gateway/member_system.cc
+++ b/src/gateway/member_system.cc
@@ -6,6 +6,7 @@
 
 #include "gateway/cold_start_limit.h"
 #include "gateway/equal_share_limiter.h"
+#include "gateway/era_history_system.h"
 #include "gateway/relay_system.h"
 #include "gateway/store_era_system.h"
 
@@ -41,6 +42,8 @@
     return;
   }
   tables.m_self_write_in_flight = true;
+  tables.m_self.m_configuration =
+      EraHistorySystem::GetKnownConfiguration(tables);
   RowWrite write{kClusterTable,
                  MemberKey(tables.GetEra(), tables.m_self.m_address),
                  tables.m_self_row_version, EncodeRecord(tables.m_self)};
@@ -248,6 +251,7 @@
         BootTime(BootTime::duration(response.m_report_sent_at)) -
         milliseconds(response.m_operator_read_age_ms);
     tables.m_operators_read_at = std::max(tables.m_operators_read_at, read_at);
+    EraHistorySystem::OnConfigurationKnown(tables, response.m_configuration);
   }
 }
 
@@ -281,6 +285,9 @@
   report.m_incarnation = tables.m_self.m_incarnation;
   report.m_sequence = ++tables.m_report_sequence;
   report.m_sent_at = now.m_boot.time_since_epoch().count();
+  report.m_configuration = EraHistorySystem::GetKnownConfiguration(tables);
+  report.m_operator_rows_version =
+      tables.m_progress[kOperatorRows].m_last_change_version;
   if (tables.m_leader_lease.m_phase == LeaderLeasePhase::kLeader) {
     if (const auto response = OnReport(tables, report, now)) {
       OnReportResponse(tables, *response, now);
@@ -305,6 +312,10 @@
       report.m_sequence <= member->m_report_sequence) {
     return std::nullopt;
   }
+  if (report.m_operator_rows_version <=
+      tables.m_progress[kOperatorRows].m_applied_version) {
+    EraHistorySystem::OnConfigurationKnown(tables, report.m_configuration);
+  }
   const ShareUseBefore before = RecordContact(tables, *member, report, now);
   RecordLoads(tables, report);
   ReportResponse response;
@@ -320,6 +331,7 @@
     response.m_last_change_versions[kind] =
         tables.m_progress[kind].m_last_change_version;
   }
+  response.m_configuration = EraHistorySystem::GetKnownConfiguration(tables);
   // Rounded up, so that the rows never seem fresher than they are.
   response.m_operator_read_age_ms =
       WholeMilliseconds(now.m_boot - tables.m_operators_read_at) + 1;
--- a/src/gateway/routing_snapshot.cc
+++ b/src/gateway/routing_snapshot.cc
@@ -58,11 +58,19 @@
   return groups;
 }
 
+// A member of an older era that has not responded to the request for the
+// history would not respond to requests for permits either.
+bool IsSilent(const GatewayTables& tables, const MemberRow& member) {
+  return tables.m_store_era.m_history == EraHistory::kUnknown &&
+         member.m_unconfirmed_until != TimePoint();
+}
+
 SchedulerMap BuildSchedulerMap(const GatewayTables& tables) {
   std::vector<SchedulingHost> hosts;
-  tables.m_members.ForEach([&hosts](MemberId, const MemberRow& member) {
+  tables.m_members.ForEach([&](MemberId, const MemberRow& member) {
     const MemberRecord& record = member.m_record;
-    if (!record.m_scheduling_address.empty() && record.m_processor_share > 0) {
+    if (!IsSilent(tables, member) && !record.m_scheduling_address.empty() &&
+        record.m_processor_share > 0) {
       hosts.push_back({record.m_scheduling_address, record.m_data_centre,
                        record.m_processor_share});
     }
@@ -105,7 +113,8 @@
   auto snapshot = std::make_shared<RoutingSnapshot>();
   // The hosts divide the cold-start rate among them. A host that does not know
   // their number would use all of it.
-  if (tables.m_progress[kClusterRows].m_loaded) {
+  if (tables.m_progress[kClusterRows].m_loaded &&
+      tables.IsConfigurationUsable()) {
     snapshot->m_routes = tables.m_routes;
   }
   snapshot->m_servers_known = tables.IsLoaded(kServerRows);
--- a/src/gateway/routing_snapshot.h
+++ b/src/gateway/routing_snapshot.h
@@ -67,7 +67,8 @@
 /// The state that traffic threads route by; immutable once published.
 struct RoutingSnapshot {
   /// Configuration in force; null until it and the registered gateways have
-  /// been read.
+  /// been read, and while it is known that a newer one was in force before the
+  /// store came back from an old copy.
   std::shared_ptr<const RouteIndex> m_routes;
   std::map<std::string, ServiceEndpoints> m_endpoints;
 
--- a/src/gateway/store_era_system.cc
+++ b/src/gateway/store_era_system.cc
@@ -33,6 +33,12 @@
   const bool first = !state.m_era;
   state.m_era = era;
   tables.m_self_row_version = tables.GetMissingRowVersion();
+  if (era > 0) {
+    state.m_history = tables.m_progress[kOperatorRows].m_loaded
+                          ? EraHistory::kKnown
+                          : EraHistory::kPending;
+    state.m_history_wait_until = TimePoint();
+  }
   if (first) {
     LeadershipSystem::OnEraKnown(tables);
     return;
--- a/tests/integration/gateway_test.cc
+++ b/tests/integration/gateway_test.cc
@@ -134,13 +134,17 @@
   bool AwaitReady(int status) { return AwaitReady(status, m_ready_port); }
 
   HttpResponse Send(const std::string& api_key) {
+    return Send(api_key, m_client_port);
+  }
+
+  HttpResponse Send(const std::string& api_key, uint16_t client_port) {
     HttpRequest request;
     request.m_target = "/x/1";
     request.m_headers.Set("Host", "a.example");
     request.m_headers.Set("X-Foxtailcart-Request-Id", "r1");
     request.m_headers.Set("X-Foxtailcart-Request-Deadline", "900");
     request.m_headers.Set("X-Foxtailcart-Credential", api_key);
-    return m_client.Call(LoopbackAddress(m_client_port), request, seconds(2));
+    return m_client.Call(LoopbackAddress(client_port), request, seconds(2));
   }
 
   void Post(uint16_t port, const std::string& target, const std::string& body) {
@@ -287,6 +291,35 @@
   EXPECT_EQ(Send("k-2").m_status, 401);
 }
 
+// A gateway that started after the store had come back took the copy's
+// configuration for the newest and admitted a withdrawn key, although another
+// gateway had the later configuration in force.
+TEST_F(GatewayTest, WithdrawnKeyStaysWithdrawnAtAGatewayThatStartsAfterwards) {
+  WriteDirectory();
+  ASSERT_TRUE(AwaitReady(200));
+  Post(m_store_port, "/faults", R"({"take_copy":true})");
+  WriteConfiguration(4, "k-2");
+  const TimePoint until = Clock::now() + kTimeout;
+  while (Send("k").m_status != 401 && Clock::now() < until) {
+    boost::this_fiber::sleep_for(kPollInterval);
+  }
+  ASSERT_EQ(Send("k").m_status, 401);
+  Post(m_store_port, "/faults", R"({"restore_copy":true})");
+  const uint16_t client_port = NextPort();
+  const uint16_t ready_port = NextPort();
+  Process second("foxtail-gateway", ArgumentsWith(client_port, ready_port),
+                 "/dev/null");
+  ASSERT_TRUE(AwaitReady(503, ready_port));
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(Send("k", client_port).m_status, 503);
+    boost::this_fiber::sleep_for(kPollInterval);
+  }
+  WriteConfiguration(4, "k-2");
+  EXPECT_TRUE(AwaitReady(200, ready_port));
+  EXPECT_EQ(Send("k", client_port).m_status, 401);
+  EXPECT_NE(Send("k-2", client_port).m_status, 401);
+}
+
 // SIGHUP ended a process that was stopping, and so did a second SIGTERM: the
 // requests that it had passed on were never answered.
 TEST_F(GatewayTest, SignalsDuringAStopEndNoRequest) {
--- a/tests/support/gateway_world.cc
+++ b/tests/support/gateway_world.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <sstream>
 
+#include "gateway/era_history_system.h"
 #include "gateway/gateway_tick.h"
 #include "gateway/leadership_system.h"
 #include "gateway/member_system.h"
@@ -367,7 +368,8 @@
 void GatewayWorld::ReadChanges(size_t host, WatchedKind kind) {
   GatewayTables& tables = m_hosts[host].m_tables;
   if (!StoreEraSystem::OnResult(tables, StoreOutcome::kDone, m_era,
-                                ReadNow())) {
+                                ReadNow()) ||
+      !EraHistorySystem::MayApply(tables, kind)) {
     return;
   }
   WatchProgress& progress = tables.m_progress[kind];
@@ -740,6 +742,16 @@
     }
   } else if (const auto* notice = std::get_if<RolloutNotice>(&message)) {
     RolloutSystem::OnNotice(tables, *notice);
+  } else if (const auto* request = std::get_if<HistoryRequest>(&message)) {
+    StoreEraSystem::OnMessage(tables, request->m_era_version, now);
+    if (auto response = EraHistorySystem::OnRequest(tables, now)) {
+      ExecuteCommand(host,
+                     SendDatagramCommand{{request->m_address}, *response});
+    }
+  } else if (const auto* history = std::get_if<HistoryResponse>(&message)) {
+    if (StoreEraSystem::OnMessage(tables, history->m_era_version, now)) {
+      EraHistorySystem::OnResponse(tables, *history, now);
+    }
   } else {
     const auto& response = std::get<ReportResponse>(message);
     LeadershipSystem::OnReportResponse(tables, response, now);
