Gateway: a leaving owner counts from when its leaving may have been acknowledged

Cause, first half: an owner that leaves is sent requests for its keys for 0.9 s more while they move, and each process counted that time from when it read the change itself. While the store refused the leader, 1.0 to 1.4 s had passed before. The bound runs from the acknowledgement.

Change: each process knows up to when it has seen all changes of a table (WatchProgress::m_complete_at): the sending time of its last read, the answer of a watch that was open when the change came, or what the leader's responses and relayed rows tell. A change counts from there, by 1 s at most. When the store answered is told by the store's own clock (StoreClock), since a response may have waited in a buffer.

Ruled out: a shorter time for the move. It would cost requests each time that a server leaves, and the first half of the sum would stay.

The tests' fake store answers open watches and probes as the real one does.

--- a/src/core/time.h
+++ b/src/core/time.h
@@ -2,7 +2,10 @@
 
 #include <time.h>
 
+#include <algorithm>
 #include <chrono>
+#include <cstdint>
+#include <limits>
 
 namespace foxtail {
 
@@ -53,6 +56,15 @@
   return {Clock::now(), WallNow(), BootClock::now()};
 }
 
+/// Converts a duration to milliseconds for a message; negative durations count
+/// as zero.
+inline uint32_t WholeMilliseconds(Duration duration) {
+  constexpr int64_t kMax = std::numeric_limits<uint32_t>::max() - 1;
+  const auto whole =
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+  return static_cast<uint32_t>(std::clamp<int64_t>(whole.count(), 0, kMax));
+}
+
 /// Converts a duration to seconds as a floating point number.
 inline double ToSeconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
--- a/src/gateway/cluster_codec.cc
+++ b/src/gateway/cluster_codec.cc
@@ -89,7 +89,7 @@
 template <typename Archive>
 void serialize(Archive& archive, RelayedRows& m) {  // NOLINT
   archive(m.m_epoch, m.m_kind, m.m_from_version, m.m_to_version, m.m_rows,
-          m.m_owners_changes, m.m_followers);
+          m.m_age_ms, m.m_owners_changes, m.m_followers);
 }
 
 template <typename Archive>
@@ -112,8 +112,8 @@
   archive(m.m_address, m.m_epoch, m.m_sequence, m.m_report_sent_at,
           m.m_leader_lease_version, m.m_shutting_down, m.m_relaying,
           m.m_store_reachable_for_ms, m.m_last_change_versions,
-          m.m_configuration, m.m_operator_read_age_ms, m.m_tokens.m_token_ttl,
-          m.m_tokens.m_grants);
+          m.m_configuration, m.m_operator_read_age_ms, m.m_complete_ages_ms,
+          m.m_tokens.m_token_ttl, m.m_tokens.m_grants);
 }
 
 template <typename Archive>
@@ -190,9 +190,9 @@
 // configuration.
 constexpr uint8_t kReportTag = 10;
 constexpr uint8_t kReportResponseTag = 11;
-// 3 and 6 were the tags of relayed rows without changes of owners records, and
-// without the late grants of previous owners.
-constexpr uint8_t kRelayedRowsTag = 7;
+// 3, 6 and 7 were the tags of relayed rows without changes of owners records,
+// without the late grants of previous owners, and without their age.
+constexpr uint8_t kRelayedRowsTag = 14;
 constexpr uint8_t kLeaderAnnouncementTag = 4;
 constexpr uint8_t kLeavingServersTag = 5;
 constexpr uint8_t kRolloutReportTag = 8;
--- a/src/gateway/cluster_records.h
+++ b/src/gateway/cluster_records.h
@@ -211,6 +211,10 @@
   /// Age of the leader's last read of the operators' rows, rounded up,
   /// milliseconds.
   uint32_t m_operator_read_age_ms = 0;
+
+  /// For each watched table, for how long changes that the leader has not
+  /// applied may have been in the store, rounded up, milliseconds.
+  std::array<uint32_t, kWatchedKinds> m_complete_ages_ms{};
   TokenResponse m_tokens;
 };
 
--- a/src/gateway/control_thread.cc
+++ b/src/gateway/control_thread.cc
@@ -241,6 +241,9 @@
   table.m_loaded = true;
   progress.m_last_read_sent_at =
       std::max(progress.m_last_read_sent_at, sent_at);
+  if (!complete) {
+    progress.RecordAnsweredWatch(sent_at, FindAnswerTime(result, sent_at));
+  }
   if (table.m_kind == kOperatorRows) {
     m_tables.m_operators_read_at =
         std::max(m_tables.m_operators_read_at, sent_at);
@@ -255,9 +258,21 @@
                         result, ReadClocks());
   }
   ApplyRows(table, result, complete);
+  progress.RecordCompleteAt(sent_at);
   return true;
 }
 
+// Returns when the store answered. The response may have been read later.
+BootTime ControlThread::FindAnswerTime(const RowsResult& result,
+                                       BootTime sent_at) {
+  const BootTime now = BootClock::now();
+  if (!result.m_store_time) {
+    return now;
+  }
+  m_store_clock.Record(sent_at, *result.m_store_time);
+  return std::min(now, m_store_clock.FindEarliest(*result.m_store_time));
+}
+
 // Returns whether a result may be used.
 bool ControlThread::AcceptEra(StoreOutcome outcome, uint64_t era) {
   const bool accepted =
--- a/src/gateway/control_thread.h
+++ b/src/gateway/control_thread.h
@@ -12,6 +12,7 @@
 #include "gateway/routing_snapshot.h"
 #include "gateway/server_control.h"
 #include "gateway/stall_detector.h"
+#include "gateway/store_clock.h"
 #include "gateway/store_retry.h"
 #include "runtime/fiber_event.h"
 #include "runtime/mailbox.h"
@@ -108,6 +109,7 @@
                    const RowsResult& result,
                    bool complete,
                    BootTime sent_at);
+  BootTime FindAnswerTime(const RowsResult& result, BootTime sent_at);
   bool AcceptEra(StoreOutcome outcome, uint64_t era);
   void FollowEra();
   void ApplyRows(WatchedTable& table, const RowsResult& result, bool complete);
@@ -156,6 +158,7 @@
   Mailbox m_mailbox;
   FiberEvent m_wake;
   StoreRetry m_store_retry;
+  StoreClock m_store_clock;
 
   /// Notified when reads of the store succeed again.
   FiberEvent m_store_reachable;
--- a/src/gateway/directory_system.cc
+++ b/src/gateway/directory_system.cc
@@ -42,13 +42,12 @@
 // any copy is old.
 constexpr std::chrono::minutes kGoneServerMemory{10};
 
-// Returns since when this process has known that the servers' rows being
-// applied had changed. It may have heard so before it could read them.
+// Returns since when the servers' rows being applied may have changed. They
+// count from then, since the time within which a server must get no new
+// requests runs from the store's acknowledgement and not from the news of it.
 TimePoint ServerChangeTime(const GatewayTables& tables, const Now& now) {
-  const TimePoint behind = tables.m_progress[kServerRows].m_behind_since;
-  return behind == TimePoint()
-             ? now.m_steady
-             : std::max(behind, now.m_steady - kMaxBackdating);
+  return std::max(tables.m_progress[kServerRows].FindChangeTime(now),
+                  now.m_steady - kMaxBackdating);
 }
 
 // Logs a change of a server's registration, at the leader only: the log of a
--- a/src/gateway/gateway_tables.cc
+++ b/src/gateway/gateway_tables.cc
@@ -3,6 +3,25 @@
 #include <algorithm>
 
 namespace foxtail {
+namespace {
+
+// A watch that is answered no sooner than this after it was sent was open when
+// its first change came, so none of its changes is older than the answer. Well
+// above the time of a call to a store that works.
+constexpr std::chrono::milliseconds kMinOpenTime{50};
+
+}  // namespace
+
+void WatchProgress::RecordAnsweredWatch(BootTime sent_at,
+                                        BootTime answered_at) {
+  if (answered_at - sent_at >= kMinOpenTime) {
+    RecordCompleteAt(answered_at);
+  }
+}
+
+void WatchProgress::RecordCompleteAt(BootTime complete_at) {
+  m_complete_at = std::max(m_complete_at, complete_at);
+}
 
 void WatchProgress::RecordKnownVersion(uint64_t version, TimePoint now) {
   m_latest_known_version = std::max(m_latest_known_version, version);
@@ -12,6 +31,17 @@
   }
 }
 
+TimePoint WatchProgress::FindChangeTime(const Now& now) const {
+  const TimePoint heard_at =
+      m_behind_since == TimePoint() ? now.m_steady : m_behind_since;
+  if (m_complete_at == BootTime()) {
+    return heard_at;
+  }
+  const Duration age =
+      std::max<Duration>(Duration(0), now.m_boot - m_complete_at);
+  return std::min(heard_at, now.m_steady - age);
+}
+
 void WatchProgress::RecordAppliedVersion(uint64_t version) {
   m_applied_version = std::max(m_applied_version, version);
   if (m_latest_known_version <= m_applied_version) {
--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -398,9 +398,24 @@
   /// When the newest successful read was sent.
   BootTime m_last_read_sent_at;
 
+  /// All changes that the store acknowledged before this time have been
+  /// applied, or are being applied; unset before the first read.
+  BootTime m_complete_at;
+
+  /// Records that a watch has been answered, before its rows are applied.
+  void RecordAnsweredWatch(BootTime sent_at, BootTime answered_at);
+
+  /// Records that another process, whose rows are applied here, had applied all
+  /// changes up to this time.
+  void RecordCompleteAt(BootTime complete_at);
+
   /// Records that the table changed at this version.
   void RecordKnownVersion(uint64_t version, TimePoint now);
 
+  /// Returns since when rows that are being applied now may have been in the
+  /// store.
+  TimePoint FindChangeTime(const Now& now) const;
+
   /// Records that all changes up to this version have been applied.
   void RecordAppliedVersion(uint64_t version);
 
--- a/src/gateway/member_system.cc
+++ b/src/gateway/member_system.cc
@@ -22,12 +22,6 @@
 // takes is not known, nor is the time until issued tokens are used.
 constexpr milliseconds kReportAgeMargin{20};
 
-uint32_t WholeMilliseconds(Duration duration) {
-  constexpr int64_t kMax = std::numeric_limits<uint32_t>::max() - 1;
-  const auto whole = std::chrono::duration_cast<milliseconds>(duration);
-  return static_cast<uint32_t>(std::clamp<int64_t>(whole.count(), 0, kMax));
-}
-
 std::string MemberKey(uint64_t era, const std::string& address) {
   return EncodeEraKey({era, kMemberPrefix + address});
 }
@@ -241,15 +235,23 @@
     tables.m_progress[kind].RecordKnownVersion(
         response.m_last_change_versions[kind], now.m_steady);
   }
-  // This process has applied all changes that the leader knew when it
-  // responded, so its rows are as fresh as the leader's were then. The response
-  // was made after the report was sent, so the age is counted back from the
+  // Where this process has applied all changes that the leader knew when it
+  // responded, its rows are as fresh as the leader's were then. The response
+  // was made after the report was sent, so ages are counted back from the
   // sending time.
+  const BootTime sent_at =
+      BootTime(BootTime::duration(response.m_report_sent_at));
+  for (uint32_t kind = 0; kind < kWatchedKinds; ++kind) {
+    WatchProgress& progress = tables.m_progress[kind];
+    if (response.m_last_change_versions[kind] <= progress.m_applied_version) {
+      progress.RecordCompleteAt(
+          sent_at - milliseconds(response.m_complete_ages_ms[kind]));
+    }
+  }
   if (response.m_last_change_versions[kOperatorRows] <=
       tables.m_progress[kOperatorRows].m_applied_version) {
     const BootTime read_at =
-        BootTime(BootTime::duration(response.m_report_sent_at)) -
-        milliseconds(response.m_operator_read_age_ms);
+        sent_at - milliseconds(response.m_operator_read_age_ms);
     tables.m_operators_read_at = std::max(tables.m_operators_read_at, read_at);
     EraHistorySystem::OnConfigurationKnown(tables, response.m_configuration);
   }
@@ -328,8 +330,10 @@
   response.m_relaying =
       !tables.m_shutting_down && RelaySystem::IsRelaying(tables, now);
   for (uint32_t kind = 0; kind < kWatchedKinds; ++kind) {
-    response.m_last_change_versions[kind] =
-        tables.m_progress[kind].m_last_change_version;
+    const WatchProgress& progress = tables.m_progress[kind];
+    response.m_last_change_versions[kind] = progress.m_last_change_version;
+    response.m_complete_ages_ms[kind] =
+        WholeMilliseconds(now.m_boot - progress.m_complete_at) + 1;
   }
   response.m_configuration = EraHistorySystem::GetKnownConfiguration(tables);
   // Rounded up, so that the rows never seem fresher than they are.
--- a/src/gateway/relay_system.cc
+++ b/src/gateway/relay_system.cc
@@ -93,6 +93,8 @@
   relayed.m_from_version = after;
   relayed.m_to_version = result.m_version;
   relayed.m_rows = result.m_rows;
+  relayed.m_age_ms = WholeMilliseconds(
+      now.m_steady - tables.m_progress[kind].FindChangeTime(now));
   if (kind == kClusterRows) {
     ReplaceOwnersRecords(tables, relayed);
   }
@@ -145,6 +147,8 @@
                           progress.m_applied_version)) {
     return std::nullopt;
   }
+  progress.RecordCompleteAt(now.m_boot -
+                            std::chrono::milliseconds(relayed.m_age_ms));
   // Rows up to the applied version must not replace newer ones.
   std::erase_if(relayed.m_rows, [&progress](const StoredRow& row) {
     return row.m_version <= progress.m_applied_version;
--- a/src/gateway/relayed_rows.h
+++ b/src/gateway/relayed_rows.h
@@ -21,6 +21,10 @@
   uint64_t m_to_version = 0;
   std::vector<StoredRow> m_rows;
 
+  /// For how long the changes may have been in the store when the leader sent
+  /// them, milliseconds.
+  uint32_t m_age_ms = 0;
+
   /// Changed owners records, which are not among the rows.
   std::vector<OwnersChange> m_owners_changes;
 
--- a/src/store/table_store.h
+++ b/src/store/table_store.h
@@ -55,6 +55,9 @@
   /// Era of the store, which rises when the store comes back from an old copy;
   /// 0 if the store says none. Only set if `ShowsEra`.
   uint64_t m_era = 0;
+
+  /// Time of the read by the store's own steady clock, if the store says it.
+  std::optional<Duration> m_store_time = {};
 };
 
 /// A conditional write or removal of one row.
--- a/tests/gateway/relay_test.cc
+++ b/tests/gateway/relay_test.cc
@@ -157,6 +157,75 @@
   }
 }
 
+// A host that had seen nothing for a while sent to the owner of keys for 0.9 s
+// more, counted from the news.
+TEST(RelayTest, ADrainCountsFromWhenItMayHaveBeenAcknowledged) {
+  for (const bool removed : {false, true}) {
+    for (const milliseconds unseen : {milliseconds(700), milliseconds(5000)}) {
+      Member member;
+      WatchProgress& progress = member.m_tables.m_progress[kServerRows];
+      progress.RecordCompleteAt(member.m_now.m_boot);
+      member.m_now.m_steady += unseen;
+      member.m_now.m_boot += unseen;
+      member.ApplyServer(true, 2, removed);
+      const ServerRow& server = member.GetServer();
+      EXPECT_EQ(removed ? server.m_deregistered_since : server.m_draining_since,
+                member.m_now.m_steady - std::min(unseen, milliseconds(1000)));
+    }
+  }
+}
+
+// The first change that an open watch returns is new, however long the watch
+// was open: the keys need the time to move.
+TEST(RelayTest, ADrainThatAnOpenWatchReturnsIsNew) {
+  Member member;
+  WatchProgress& progress = member.m_tables.m_progress[kServerRows];
+  progress.RecordCompleteAt(member.m_now.m_boot - seconds(5));
+  progress.RecordAnsweredWatch(member.m_now.m_boot - seconds(5),
+                               member.m_now.m_boot);
+  member.ApplyServer(true, 2, false);
+  EXPECT_EQ(member.GetServer().m_draining_since, member.m_now.m_steady);
+}
+
+// A watch that is answered at once returns changes of any age since the read
+// before.
+TEST(RelayTest, ADrainThatAWatchReturnsAtOnceMayBeOld) {
+  Member member;
+  WatchProgress& progress = member.m_tables.m_progress[kServerRows];
+  progress.RecordCompleteAt(member.m_now.m_boot - milliseconds(800));
+  progress.RecordAnsweredWatch(member.m_now.m_boot - milliseconds(10),
+                               member.m_now.m_boot);
+  member.ApplyServer(true, 2, false);
+  EXPECT_EQ(member.GetServer().m_draining_since,
+            member.m_now.m_steady - milliseconds(800));
+}
+
+TEST(RelayTest, RelayedRowsTellTheirAge) {
+  Member leader;
+  leader.m_tables.m_leader_lease.m_phase = LeaderLeasePhase::kLeader;
+  leader.m_tables.m_leader_lease.m_authority_until =
+      leader.m_now.m_boot + seconds(1);
+  MemberRow other;
+  other.m_record.m_address = "10.1.0.3:7360";
+  leader.m_tables.m_members.Insert(other);
+  leader.m_tables.m_progress[kServerRows].RecordCompleteAt(leader.m_now.m_boot -
+                                                           milliseconds(600));
+  RelaySystem::OnRead(leader.m_tables, kServerRows, 1,
+                      {StoreOutcome::kDone, {{kServer, "", 2, true}}, 2},
+                      leader.m_now);
+  ASSERT_EQ(leader.m_tables.m_outbox.size(), 1U);
+  const auto& command =
+      std::get<SendDatagramCommand>(leader.m_tables.m_outbox[0]);
+
+  Member member;
+  const auto rows = RelaySystem::OnRelayedRows(
+      member.m_tables, std::get<RelayedRows>(command.m_message), member.m_now);
+  ASSERT_TRUE(rows);
+  member.ApplyServer(false, 2, true);
+  EXPECT_EQ(member.GetServer().m_deregistered_since,
+            member.m_now.m_steady - milliseconds(600));
+}
+
 TEST(RelayTest, RelayedRowsDoNotReplaceNewerOnes) {
   GatewayTables tables;
   WatchProgress& progress = tables.m_progress[kServerRows];
--- a/tests/support/gateway_world.cc
+++ b/tests/support/gateway_world.cc
@@ -231,6 +231,7 @@
   FakeHost& fake = m_hosts[host];
   fake.m_up = true;
   fake.m_configuration = 0;
+  fake.m_watches = {};
   ++fake.m_incarnation;
   fake.m_tables = GatewayTables();
   fake.m_tables.m_self = {HostAddress(host), std::to_string(fake.m_incarnation),
@@ -349,23 +350,53 @@
   return !m_store_down && !m_hosts[host].m_store_unreachable;
 }
 
+// Simulates watches, which are answered when there are changes, and probes,
+// which are answered at once.
 void GatewayWorld::DeliverWatches(size_t host) {
-  if (!ReachesStore(host)) {
-    return;
-  }
   const GatewayTables& tables = m_hosts[host].m_tables;
   for (uint32_t i = 0; i < kWatchedKinds; ++i) {
     const auto kind = static_cast<WatchedKind>(i);
-    if (!tables.IsLoaded(kind) || RelaySystem::MustWatch(tables, ReadNow()) ||
-        RelaySystem::IsProbeDue(tables, kind, ReadNow())) {
-      ReadChanges(host, kind);
+    std::optional<BootTime>& watch_sent_at = m_hosts[host].m_watches.at(i);
+    const bool must_watch =
+        !tables.IsLoaded(kind) || RelaySystem::MustWatch(tables, ReadNow());
+    const bool must_probe = !tables.IsLoaded(kind) ||
+                            RelaySystem::IsProbeDue(tables, kind, ReadNow());
+    if (!ReachesStore(host) || !must_watch) {
+      watch_sent_at.reset();
+    } else if (!watch_sent_at) {
+      watch_sent_at = ReadNow().m_boot;
+    }
+    if (!ReachesStore(host)) {
+      continue;
+    }
+    if (must_probe) {
+      ReadChanges(host, kind, ReadNow().m_boot);
+    } else if (must_watch && HasChanges(host, kind)) {
+      ReadChanges(host, kind, *watch_sent_at);
+      watch_sent_at = ReadNow().m_boot;
     }
   }
 }
 
-// Simulates a watch, which returns at once when there are changes, and a probe.
+bool GatewayWorld::HasChanges(size_t host, WatchedKind kind) const {
+  const uint64_t after = NumberOfVersion(
+      m_hosts[host].m_tables.m_progress[kind].m_applied_version);
+  const std::string table = TableOf(kind);
+  return std::ranges::any_of(m_rows, [&](const auto& row) {
+    return row.first.first == table && row.second.m_version > after;
+  });
+}
+
+std::string GatewayWorld::TableOf(WatchedKind kind) const {
+  const std::array<std::string, kWatchedKinds> names = {
+      m_decoder.OperatorTable(), m_decoder.ServerTable(), kClusterTable};
+  return names.at(kind);
+}
+
 // At the start and in a new era the whole table is read.
-void GatewayWorld::ReadChanges(size_t host, WatchedKind kind) {
+void GatewayWorld::ReadChanges(size_t host,
+                               WatchedKind kind,
+                               BootTime sent_at) {
   GatewayTables& tables = m_hosts[host].m_tables;
   if (!StoreEraSystem::OnResult(tables, StoreOutcome::kDone, m_era,
                                 ReadNow()) ||
@@ -376,14 +407,12 @@
   const bool complete = !tables.IsLoaded(kind);
   const uint64_t after =
       complete ? 0 : NumberOfVersion(progress.m_applied_version);
-  const std::array<std::string, kWatchedKinds> table_names = {
-      m_decoder.OperatorTable(), m_decoder.ServerTable(), kClusterTable};
   RowsResult result{StoreOutcome::kDone,
                     {},
                     MakeStoreVersion(m_era, std::max<uint64_t>(1, m_version)),
                     m_era};
   for (const auto& [key, value] : m_rows) {
-    if (key.first == table_names[kind] && value.m_version > after &&
+    if (key.first == TableOf(kind) && value.m_version > after &&
         !(complete && value.m_removed)) {
       result.m_rows.push_back({key.second, value.m_value,
                                MakeStoreVersion(m_era, value.m_version),
@@ -391,12 +420,15 @@
     }
   }
   m_watch_reads += result.m_rows.empty() ? 0 : 1;
-  progress.m_last_read_sent_at = ReadNow().m_boot;
+  progress.m_last_read_sent_at =
+      std::max(progress.m_last_read_sent_at, sent_at);
   if (!complete) {
+    progress.RecordAnsweredWatch(sent_at, ReadNow().m_boot);
     RelaySystem::OnRead(tables, kind, progress.m_last_change_version, result,
                         ReadNow());
   }
   ApplyRows(host, kind, result, complete);
+  progress.RecordCompleteAt(sent_at);
 }
 
 void GatewayWorld::ApplyRows(size_t host,
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -89,6 +89,9 @@
   bool m_isolated = false;
   uint64_t m_incarnation = 0;
 
+  /// When the open watch of each table was sent; unset if there is none.
+  std::array<std::optional<BootTime>, kWatchedKinds> m_watches;
+
   /// Version of the newest configuration that the process has had.
   uint64_t m_configuration = 0;
 
@@ -245,7 +248,9 @@
   void RunClients(size_t host);
   void SendReportIfDue(size_t host);
   void DeliverWatches(size_t host);
-  void ReadChanges(size_t host, WatchedKind kind);
+  bool HasChanges(size_t host, WatchedKind kind) const;
+  std::string TableOf(WatchedKind kind) const;
+  void ReadChanges(size_t host, WatchedKind kind, BootTime sent_at);
   void ApplyRows(size_t host,
                  WatchedKind kind,
                  const RowsResult& result,
