Gateway: a leader whose reads fail does not count as a relay

Cause, second half: members do not watch the store while the leader says that it relays, and it said so until its last read was 1 s old, whether its reads failed or not. A member that was told then went on waiting for up to 0.5 s, until its earlier deadline: nothing woke its watches.

Change: the leader stops relaying once its reads have failed for 300 ms, which leaves it two retries, and a response that says so starts the members' watches at once.

Weighed: after the first failure. Each failed read would make all members read three tables, also with 295 hosts.

Tests: MembersReadTheStoreSoonAfterTheLeaderIsRefused fails without the change.

--- a/src/gateway/control_thread.cc
+++ b/src/gateway/control_thread.cc
@@ -366,6 +366,7 @@
                    {{"error", NameOf(outcome)}, {"table", table.m_name}});
   }
   table.m_failing = !succeeded;
+  RelaySystem::OnReadOutcome(m_tables, table.m_kind, succeeded, ReadClocks());
   if (!succeeded) {
     m_store_retry.OnFailure(Clock::now());
   } else if (m_store_retry.IsFailing()) {
@@ -463,6 +464,9 @@
   LeadershipSystem::OnReportResponse(m_tables, response, now);
   MemberSystem::OnReportResponse(m_tables, response, now);
   FollowEra();
+  if (RelaySystem::MustWatch(m_tables, now)) {
+    m_watch_needed.Notify();
+  }
   Flush();
   if (response.m_shutting_down) {
     Wake();
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -144,6 +144,10 @@
   Duration m_relay_max_read_age = std::chrono::milliseconds(1000);
   Duration m_relay_silence_timeout = std::chrono::milliseconds(900);
 
+  /// The leader no longer relays once its reads of the store have failed for
+  /// this long: two retries.
+  Duration m_relay_failure_grace = std::chrono::milliseconds(300);
+
   /// For how long a process that has just started waits for a leader's messages
   /// before it watches the store itself. Hosts that start together would
   /// otherwise all receive each other's registrations from the store.
--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -398,6 +398,10 @@
   /// When the newest successful read was sent.
   BootTime m_last_read_sent_at;
 
+  /// Since when reads of the table have failed; unset if the last one
+  /// succeeded.
+  TimePoint m_failing_since;
+
   /// All changes that the store acknowledged before this time have been
   /// applied, or are being applied; unset before the first read.
   BootTime m_complete_at;
--- a/src/gateway/relay_system.cc
+++ b/src/gateway/relay_system.cc
@@ -157,18 +157,37 @@
                     relayed.m_to_version};
 }
 
+// A read that fails tells sooner than the age of the last one that succeeded.
+// A single failure is retried first: if the leader stops relaying, all members
+// read the store.
 bool RelaySystem::IsRelaying(const GatewayTables& tables, const Now& now) {
-  const auto is_recent = [&](WatchedKind kind) {
-    return now.m_boot - tables.m_progress[kind].m_last_read_sent_at <
-           tables.m_settings.m_relay_max_read_age;
+  const auto is_current = [&](WatchedKind kind) {
+    const WatchProgress& progress = tables.m_progress[kind];
+    const bool failing = progress.m_failing_since != TimePoint() &&
+                         now.m_steady - progress.m_failing_since >=
+                             tables.m_settings.m_relay_failure_grace;
+    return !failing && now.m_boot - progress.m_last_read_sent_at <
+                           tables.m_settings.m_relay_max_read_age;
   };
-  return is_recent(kOperatorRows) && is_recent(kServerRows);
+  return is_current(kOperatorRows) && is_current(kServerRows);
 }
 
 bool RelaySystem::MustWatch(const GatewayTables& tables, const Now& now) {
   return tables.IsLeading(now) || now.m_steady >= tables.m_relayed_until;
 }
 
+void RelaySystem::OnReadOutcome(GatewayTables& tables,
+                                WatchedKind kind,
+                                bool succeeded,
+                                const Now& now) {
+  TimePoint& failing_since = tables.m_progress[kind].m_failing_since;
+  if (succeeded) {
+    failing_since = TimePoint();
+  } else if (failing_since == TimePoint()) {
+    failing_since = now.m_steady;
+  }
+}
+
 // While the leader relays, only its own outages matter, and its responses tell
 // of them.
 void RelaySystem::OnStoreReachable(GatewayTables& tables, const Now& now) {
--- a/src/gateway/relay_system.h
+++ b/src/gateway/relay_system.h
@@ -41,6 +41,12 @@
   /// Returns whether this process must watch the store itself.
   static bool MustWatch(const GatewayTables& tables, const Now& now);
 
+  /// Records whether a read of a watched table has succeeded.
+  static void OnReadOutcome(GatewayTables& tables,
+                            WatchedKind kind,
+                            bool succeeded,
+                            const Now& now);
+
   /// Records that this process's own reads of the store succeed again.
   static void OnStoreReachable(GatewayTables& tables, const Now& now);
 
--- a/tests/gateway/relay_test.cc
+++ b/tests/gateway/relay_test.cc
@@ -6,6 +6,7 @@
 #include "gateway/member_system.h"
 #include "gateway/relay_groups.h"
 #include "gateway/relay_system.h"
+#include "gateway/routing_snapshot.h"
 #include "support/gateway_world.h"
 
 namespace foxtail {
@@ -79,6 +80,102 @@
   EXPECT_LE(CountUnaware(world), 1U);
 }
 
+// The members learnt that the leader's reads failed from their age only, which
+// took 1 s and more.
+TEST(RelayTest, MembersReadTheStoreSoonAfterTheLeaderIsRefused) {
+  GatewayWorld world(10, 6);
+  world.Run(seconds(4));
+  world.m_hosts[world.Leader()].m_store_unreachable = true;
+  Drain(world);
+  // Two failed reads and the next report.
+  world.Run(milliseconds(750));
+  EXPECT_LE(CountUnaware(world), 1U);
+}
+
+// One failed read of the leader made all members read the store.
+TEST(RelayTest, MembersDoNotReadTheStoreAfterASingleFailure) {
+  GatewayWorld world(10, 6);
+  world.Run(seconds(4));
+  const size_t leader = world.Leader();
+  world.m_hosts[leader].m_store_unreachable = true;
+  world.Run(milliseconds(200));
+  world.m_hosts[leader].m_store_unreachable = false;
+  world.m_watch_reads = 0;
+  for (int i = 0; i < 100; ++i) {
+    world.Run(milliseconds(10));
+    for (size_t host = 0; host < world.m_hosts.size(); ++host) {
+      const Now now{world.m_now, WallTime(),
+                    BootTime(world.m_now.time_since_epoch())};
+      EXPECT_TRUE(host == leader ||
+                  !RelaySystem::MustWatch(world.m_hosts[host].m_tables, now));
+    }
+  }
+}
+
+// Returns whether a host sends requests to the server, for its keys at least.
+bool MaySend(const GatewayWorld& world, size_t host, size_t server) {
+  const auto snapshot = BuildSnapshot(world.m_hosts[host].m_tables);
+  const ServiceEndpoints* endpoints = snapshot->FindEndpoints(kShardedService);
+  if (!endpoints) {
+    return false;
+  }
+  const auto found = endpoints->m_servers.find(world.m_servers[server].m_id);
+  return found != endpoints->m_servers.end() &&
+         (found->second.m_eligible || world.m_now < found->second.m_send_until);
+}
+
+/// How a server leaves, and how long before that the leader's newest read of
+/// the store was sent, in milliseconds.
+struct LeaveCase {
+  bool m_removed = false;
+  bool m_silent = false;
+  int m_read_before = 0;
+};
+
+class LeaveWhileTheLeaderIsRefusedTest
+    : public testing::TestWithParam<LeaveCase> {};
+
+// A server that leaves must get no requests 2 s after the store has
+// acknowledged so. The members waited for the leader, which the store refused,
+// and sent to the owner of keys for 0.9 s after they had heard. The bound
+// leaves a tenth of a second for requests under way.
+TEST_P(LeaveWhileTheLeaderIsRefusedTest, HostsInTouchStopInTime) {
+  GatewayWorld world(10, 6);
+  world.Run(milliseconds(4000 + GetParam().m_read_before));
+  const size_t leader = world.Leader();
+  ASSERT_LT(leader, world.m_hosts.size());
+  world.m_hosts[leader].m_store_unreachable = true;
+  world.m_hosts[leader].m_store_silent = GetParam().m_silent;
+  if (GetParam().m_removed) {
+    world.DeregisterServer(1);
+  } else {
+    Drain(world);
+  }
+  world.Run(milliseconds(1900));
+  for (int i = 0; i < 100; ++i) {
+    for (size_t host = 0; host < world.m_hosts.size(); ++host) {
+      EXPECT_FALSE(host != leader && MaySend(world, host, 1)) << host;
+    }
+    world.Run(milliseconds(10));
+  }
+}
+
+std::vector<LeaveCase> ListLeaveCases() {
+  std::vector<LeaveCase> cases;
+  for (int read_before = 0; read_before < 800; read_before += 100) {
+    for (const bool removed : {false, true}) {
+      for (const bool silent : {false, true}) {
+        cases.push_back({removed, silent, read_before});
+      }
+    }
+  }
+  return cases;
+}
+
+INSTANTIATE_TEST_SUITE_P(Times,
+                         LeaveWhileTheLeaderIsRefusedTest,
+                         testing::ValuesIn(ListLeaveCases()));
+
 /// A host that is not the leader and has read the registration of `kServer`.
 struct Member {
   Member() { ApplyServer(false, 1, false); }
--- a/tests/support/gateway_world.cc
+++ b/tests/support/gateway_world.cc
@@ -366,6 +366,11 @@
     } else if (!watch_sent_at) {
       watch_sent_at = ReadNow().m_boot;
     }
+    if ((must_watch || must_probe) &&
+        (ReachesStore(host) || !m_hosts[host].m_store_silent)) {
+      RelaySystem::OnReadOutcome(m_hosts[host].m_tables, kind,
+                                 ReachesStore(host), ReadNow());
+    }
     if (!ReachesStore(host)) {
       continue;
     }
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -85,6 +85,9 @@
   /// The host gets no response from the store and doesn't change any row.
   bool m_store_unreachable = false;
 
+  /// Beside that, the host is not told so: its reads of the store hang.
+  bool m_store_silent = false;
+
   /// Datagrams to and from the other hosts are lost.
   bool m_isolated = false;
   uint64_t m_incarnation = 0;
