Gateway: refusals of one host are no outage of the store

Cause: in an outage of the store registrations lapse, so rows that are missing after one keep their servers in use for a while. Each failed read of the leader counted as an outage, and its responses told all members so.

Change: an outage is a time of 1.5 s and more without an answer of the store to this process or, at the leader, to a member that reads for itself (OutageDetector); reports say when it last answered. Shorter ones lapse no registration. The time in which lapsed registrations may come back now runs from the end of the outage, not from when each row is found missing.

Weighed: the length of the failure alone. A call without an answer is noticed 1.5 s late, so a refusal of 1 s would look like one of 2.5 s.

Tests: 26 of 32 cases of LeaveAfterAShortRefusalTest and OutageDetectorTest fail without the minimum; OutageTest.ServersWhoseRegistrationsLapseStayInUse holds before and after.

--- a/src/gateway/cluster_codec.cc
+++ b/src/gateway/cluster_codec.cc
@@ -3,6 +3,7 @@
 #include <cereal/cereal.hpp>
 #include <cereal/types/array.hpp>
 #include <cereal/types/chrono.hpp>
+#include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/utility.hpp>
 #include <cereal/types/vector.hpp>
@@ -71,8 +72,8 @@
 template <typename Archive>
 void serialize(Archive& archive, MemberReport& m) {  // NOLINT
   archive(m.m_address, m.m_incarnation, m.m_sequence, m.m_sent_at, m.m_members,
-          m.m_configuration, m.m_operator_rows_version, m.m_demands, m.m_loads,
-          m.m_speeds);
+          m.m_store_answer_age_ms, m.m_configuration, m.m_operator_rows_version,
+          m.m_demands, m.m_loads, m.m_speeds);
 }
 
 template <typename Archive>
--- a/src/gateway/cluster_records.h
+++ b/src/gateway/cluster_records.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -149,6 +150,10 @@
   /// Number of hosts among which the sender divides the workspaces' rates.
   uint32_t m_members = 0;
 
+  /// How long before the report the store last answered the sender,
+  /// milliseconds; unset if it never has.
+  std::optional<uint32_t> m_store_answer_age_ms;
+
   /// The newest version of the configuration that the sender knows, and of the
   /// changes of the operators' rows that it has applied.
   uint64_t m_configuration = 0;
@@ -197,7 +202,7 @@
   /// The leader's reads of the store succeed, and it relays changed rows.
   bool m_relaying = false;
 
-  /// For how long the leader's reads of the store have succeeded without a gap,
+  /// For how long the store has had no outage, as the leader knows,
   /// milliseconds.
   uint32_t m_store_reachable_for_ms = 0;
 
--- a/src/gateway/control_thread.cc
+++ b/src/gateway/control_thread.cc
@@ -358,7 +358,6 @@
                                        bool succeeded,
                                        StoreOutcome outcome) {
   if (succeeded && table.m_failing) {
-    RelaySystem::OnStoreReachable(m_tables, ReadClocks());
     m_events.Write(EventNumber::kPlatformReachable, {{"table", table.m_name}});
   }
   if (!succeeded && !table.m_failing) {
--- a/src/gateway/directory_system.cc
+++ b/src/gateway/directory_system.cc
@@ -21,10 +21,13 @@
 constexpr std::chrono::seconds kRemovalDelay{15};
 
 // Registrations that expired during an outage of the store are back about two
-// seconds after the outage ends.
-constexpr std::chrono::milliseconds kReregistrationTimeout{2200};
+// seconds after the outage ends. What is missing later is gone.
 constexpr std::chrono::milliseconds kOutageRecoveryPeriod{2500};
 
+// Time in which a server registers again whose row was overwritten and has
+// expired.
+constexpr std::chrono::milliseconds kReregistrationTimeout{2200};
+
 // Limit on how far in the past a change may count from: longer than the grace
 // period of a draining server, and short against `kRemovalDelay`.
 constexpr std::chrono::milliseconds kMaxBackdating{1000};
@@ -143,12 +146,13 @@
   if (!server.m_registered || server.m_missing) {
     return;
   }
-  const bool may_register_again =
-      was_overwritten ||
-      now.m_steady - tables.m_store_reachable_since < kOutageRecoveryPeriod;
-  if (may_register_again) {
+  TimePoint until = tables.m_store_reachable_since + kOutageRecoveryPeriod;
+  if (was_overwritten) {
+    until = std::max(until, now.m_steady + kReregistrationTimeout);
+  }
+  if (now.m_steady < until) {
     server.m_missing = true;
-    server.m_missing_until = now.m_steady + kReregistrationTimeout;
+    server.m_missing_until = until;
   } else {
     Deregister(tables, server, ServerChangeTime(tables, now));
   }
--- a/src/gateway/gateway_tables.h
+++ b/src/gateway/gateway_tables.h
@@ -19,6 +19,7 @@
 #include "gateway/era_key.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/member_contact.h"
+#include "gateway/outage_detector.h"
 #include "gateway/rollout_row.h"
 #include "gateway/server_control.h"
 #include "gateway/slice_weights.h"
@@ -567,8 +568,12 @@
   /// Stored owners record of each service, for routing.
   std::map<std::string, OwnersRecord> m_owners;
 
-  /// Since when reads of the store have succeeded without a gap: this process's
-  /// reads, or the leader's while the leader relays.
+  /// Outages of the store, by the answers to this process and, at the leader,
+  /// to the members.
+  OutageDetector m_outages;
+
+  /// Since when the store has had no outage: as this process knows, or the
+  /// leader while the leader relays.
   TimePoint m_store_reachable_since;
 
   /// This process's own member row in the store.
--- a/src/gateway/member_system.cc
+++ b/src/gateway/member_system.cc
@@ -287,6 +287,11 @@
   report.m_incarnation = tables.m_self.m_incarnation;
   report.m_sequence = ++tables.m_report_sequence;
   report.m_sent_at = now.m_boot.time_since_epoch().count();
+  if (const TimePoint answered_at = tables.m_outages.GetLastAnswer();
+      answered_at != TimePoint()) {
+    report.m_store_answer_age_ms =
+        WholeMilliseconds(now.m_steady - answered_at);
+  }
   report.m_configuration = EraHistorySystem::GetKnownConfiguration(tables);
   report.m_operator_rows_version =
       tables.m_progress[kOperatorRows].m_last_change_version;
@@ -318,6 +323,11 @@
       tables.m_progress[kOperatorRows].m_applied_version) {
     EraHistorySystem::OnConfigurationKnown(tables, report.m_configuration);
   }
+  if (report.m_store_answer_age_ms) {
+    RelaySystem::OnStoreAnswered(
+        tables, now.m_steady - milliseconds(*report.m_store_answer_age_ms),
+        now);
+  }
   const ShareUseBefore before = RecordContact(tables, *member, report, now);
   RecordLoads(tables, report);
   ReportResponse response;
--- a/src/gateway/relay_system.cc
+++ b/src/gateway/relay_system.cc
@@ -188,6 +188,24 @@
   }
 }
 
+void RelaySystem::OnStoreCall(GatewayTables& tables,
+                              bool answered,
+                              const Now& now) {
+  if (answered) {
+    OnStoreAnswered(tables, now.m_steady, now);
+  } else {
+    tables.m_outages.OnFailure();
+  }
+}
+
+void RelaySystem::OnStoreAnswered(GatewayTables& tables,
+                                  TimePoint at,
+                                  const Now& now) {
+  if (tables.m_outages.OnAnswer(at)) {
+    OnStoreReachable(tables, now);
+  }
+}
+
 // While the leader relays, only its own outages matter, and its responses tell
 // of them.
 void RelaySystem::OnStoreReachable(GatewayTables& tables, const Now& now) {
--- a/src/gateway/relay_system.h
+++ b/src/gateway/relay_system.h
@@ -47,7 +47,15 @@
                             bool succeeded,
                             const Now& now);
 
-  /// Records that this process's own reads of the store succeed again.
+  /// Records whether the store has answered a call of this process.
+  static void OnStoreCall(GatewayTables& tables, bool answered, const Now& now);
+
+  /// Records when the store has answered a call of another process.
+  static void OnStoreAnswered(GatewayTables& tables,
+                              TimePoint at,
+                              const Now& now);
+
+  /// Records that the store is back from an outage.
   static void OnStoreReachable(GatewayTables& tables, const Now& now);
 
   /// Returns whether a table must be read at once, without waiting for changes.
--- a/src/gateway/store_era_system.cc
+++ b/src/gateway/store_era_system.cc
@@ -2,6 +2,7 @@
 
 #include "gateway/leadership_system.h"
 #include "gateway/owners_system.h"
+#include "gateway/relay_system.h"
 #include "gateway/rollout_system.h"
 
 namespace foxtail {
@@ -64,6 +65,7 @@
                               StoreOutcome outcome,
                               uint64_t era,
                               const Now& now) {
+  RelaySystem::OnStoreCall(tables, ShowsEra(outcome), now);
   const bool first = !tables.m_store_era.m_era && ShowsEra(outcome);
   if (first || era > tables.GetEra()) {
     BeginEra(tables, era, now);
--- a/tests/gateway/relay_test.cc
+++ b/tests/gateway/relay_test.cc
@@ -160,6 +160,63 @@
   }
 }
 
+class LeaveAfterAShortRefusalTest : public testing::TestWithParam<LeaveCase> {};
+
+// The store refused the leader for 1 s, which counted as an outage. The rows of
+// servers that left afterwards were taken for registrations that had lapsed in
+// it, and the servers stayed in use for 2.2 s.
+TEST_P(LeaveAfterAShortRefusalTest, HostsInTouchStopInTime) {
+  for (const int after : {500, 900, 1500, 2200, 3000}) {
+    GatewayWorld world(10, 6);
+    world.Run(milliseconds(4000 + GetParam().m_read_before));
+    const size_t leader = world.Leader();
+    ASSERT_LT(leader, world.m_hosts.size());
+    FakeHost& refused = world.m_hosts[leader];
+    refused.m_store_unreachable = true;
+    refused.m_store_silent = GetParam().m_silent;
+    const auto run_until = [&, start = world.m_now](int offset) {
+      while (world.m_now < start + milliseconds(offset)) {
+        world.Run(milliseconds(10));
+        refused.m_store_unreachable = world.m_now < start + milliseconds(1000);
+      }
+    };
+    run_until(after);
+    if (GetParam().m_removed) {
+      world.DeregisterServer(1);
+    } else {
+      Drain(world);
+    }
+    run_until(after + 1900);
+    for (int i = 0; i < 50; ++i) {
+      for (size_t host = 0; host < world.m_hosts.size(); ++host) {
+        EXPECT_FALSE(host != leader && MaySend(world, host, 1))
+            << host << " " << after;
+      }
+      run_until(after + 1900 + i * 10);
+    }
+  }
+}
+
+// Registrations lapse in an outage of the store, and are back within 2 s.
+TEST(OutageTest, ServersWhoseRegistrationsLapseStayInUse) {
+  GatewayWorld world(10, 6);
+  world.Run(seconds(4));
+  world.m_store_down = true;
+  world.Run(milliseconds(2500));
+  world.DeregisterServer(1);
+  world.Run(milliseconds(500));
+  world.m_store_down = false;
+  for (int i = 0; i < 400; ++i) {
+    world.Run(milliseconds(10));
+    for (size_t host = 0; host < world.m_hosts.size(); ++host) {
+      EXPECT_TRUE(MaySend(world, host, 1)) << host << " " << i;
+    }
+    if (i == 180) {
+      world.RegisterServer(1);
+    }
+  }
+}
+
 std::vector<LeaveCase> ListLeaveCases() {
   std::vector<LeaveCase> cases;
   for (int read_before = 0; read_before < 800; read_before += 100) {
@@ -175,6 +232,9 @@
 INSTANTIATE_TEST_SUITE_P(Times,
                          LeaveWhileTheLeaderIsRefusedTest,
                          testing::ValuesIn(ListLeaveCases()));
+INSTANTIATE_TEST_SUITE_P(Times,
+                         LeaveAfterAShortRefusalTest,
+                         testing::ValuesIn(ListLeaveCases()));
 
 /// A host that is not the leader and has read the registration of `kServer`.
 struct Member {
--- a/tests/support/gateway_world.cc
+++ b/tests/support/gateway_world.cc
@@ -370,6 +370,10 @@
         (ReachesStore(host) || !m_hosts[host].m_store_silent)) {
       RelaySystem::OnReadOutcome(m_hosts[host].m_tables, kind,
                                  ReachesStore(host), ReadNow());
+      if (!ReachesStore(host)) {
+        StoreEraSystem::OnResult(m_hosts[host].m_tables,
+                                 StoreOutcome::kUnavailable, 0, ReadNow());
+      }
     }
     if (!ReachesStore(host)) {
       continue;
