Gateway: members read the store at once only if the leader's reads fail

A leader does not relay either when its reads fail or when the last one is 1 s old, and it probed only after 0.7 to 1.0 s, so a leader that is merely late had 294 members open three watches each.

Change: the response says whether the leader's reads fail; only then members read at once, otherwise they wait as before for the end of 0.9 s since the last response that did relay. The leader probes after 0.5 s and counts as late after 0.9 s, so that a change is still read 1.8 s after its acknowledgement at the latest when the leader gets no answers.

--- a/src/gateway/cluster_codec.cc
+++ b/src/gateway/cluster_codec.cc
@@ -112,7 +112,7 @@
 void serialize(Archive& archive, ReportResponse& m) {  // NOLINT
   archive(m.m_address, m.m_epoch, m.m_sequence, m.m_report_sent_at,
           m.m_leader_lease_version, m.m_shutting_down, m.m_relaying,
-          m.m_store_reachable_for_ms, m.m_last_change_versions,
+          m.m_refused, m.m_store_reachable_for_ms, m.m_last_change_versions,
           m.m_configuration, m.m_operator_read_age_ms, m.m_complete_ages_ms,
           m.m_tokens.m_token_ttl, m.m_tokens.m_grants);
 }
--- a/src/gateway/cluster_records.h
+++ b/src/gateway/cluster_records.h
@@ -202,6 +202,10 @@
   /// The leader's reads of the store succeed, and it relays changed rows.
   bool m_relaying = false;
 
+  /// The leader's reads of the store fail, so members read it at once. A leader
+  /// that does not relay without this may only be late.
+  bool m_refused = false;
+
   /// For how long the store has had no outage, as the leader knows,
   /// milliseconds.
   uint32_t m_store_reachable_for_ms = 0;
--- a/src/gateway/control_thread.cc
+++ b/src/gateway/control_thread.cc
@@ -463,7 +463,7 @@
   LeadershipSystem::OnReportResponse(m_tables, response, now);
   MemberSystem::OnReportResponse(m_tables, response, now);
   FollowEra();
-  if (RelaySystem::MustWatch(m_tables, now)) {
+  if (response.m_refused) {
     m_watch_needed.Notify();
   }
   Flush();
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -134,14 +134,14 @@
   /// Age of the configuration at which the leader and the other members,
   /// respectively, read the configuration from the store themselves. The longer
   /// time of the members leaves the read to the leader.
-  Duration m_leader_refresh_age = std::chrono::milliseconds(700);
+  Duration m_leader_refresh_age = std::chrono::milliseconds(500);
   Duration m_member_refresh_age = std::chrono::milliseconds(2300);
 
   /// Members rely on the leader to watch the store while the leader's reads are
   /// not older than the first time and its last message is not older than the
   /// second. Together with a report period, both are well below the time within
   /// which servers must stop receiving new work.
-  Duration m_relay_max_read_age = std::chrono::milliseconds(1000);
+  Duration m_relay_max_read_age = std::chrono::milliseconds(900);
   Duration m_relay_silence_timeout = std::chrono::milliseconds(900);
 
   /// The leader no longer relays once its reads of the store have failed for
--- a/src/gateway/member_system.cc
+++ b/src/gateway/member_system.cc
@@ -339,6 +339,7 @@
   response.m_shutting_down = tables.m_shutting_down;
   response.m_relaying =
       !tables.m_shutting_down && RelaySystem::IsRelaying(tables, now);
+  response.m_refused = RelaySystem::IsRefused(tables, now);
   for (uint32_t kind = 0; kind < kWatchedKinds; ++kind) {
     const WatchProgress& progress = tables.m_progress[kind];
     response.m_last_change_versions[kind] = progress.m_last_change_version;
--- a/src/gateway/relay_system.cc
+++ b/src/gateway/relay_system.cc
@@ -160,16 +160,23 @@
 // A read that fails tells sooner than the age of the last one that succeeded.
 // A single failure is retried first: if the leader stops relaying, all members
 // read the store.
+bool RelaySystem::IsRefused(const GatewayTables& tables, const Now& now) {
+  const auto is_refused = [&](WatchedKind kind) {
+    const TimePoint failing_since = tables.m_progress[kind].m_failing_since;
+    return failing_since != TimePoint() &&
+           now.m_steady - failing_since >=
+               tables.m_settings.m_relay_failure_grace;
+  };
+  return is_refused(kOperatorRows) || is_refused(kServerRows);
+}
+
 bool RelaySystem::IsRelaying(const GatewayTables& tables, const Now& now) {
-  const auto is_current = [&](WatchedKind kind) {
-    const WatchProgress& progress = tables.m_progress[kind];
-    const bool failing = progress.m_failing_since != TimePoint() &&
-                         now.m_steady - progress.m_failing_since >=
-                             tables.m_settings.m_relay_failure_grace;
-    return !failing && now.m_boot - progress.m_last_read_sent_at <
-                           tables.m_settings.m_relay_max_read_age;
+  const auto is_recent = [&](WatchedKind kind) {
+    return now.m_boot - tables.m_progress[kind].m_last_read_sent_at <
+           tables.m_settings.m_relay_max_read_age;
   };
-  return is_current(kOperatorRows) && is_current(kServerRows);
+  return is_recent(kOperatorRows) && is_recent(kServerRows) &&
+         !IsRefused(tables, now);
 }
 
 bool RelaySystem::MustWatch(const GatewayTables& tables, const Now& now) {
--- a/src/gateway/relay_system.h
+++ b/src/gateway/relay_system.h
@@ -35,6 +35,9 @@
                                                  RelayedRows relayed,
                                                  const Now& now);
 
+  /// Returns whether this process's reads of the store fail.
+  static bool IsRefused(const GatewayTables& tables, const Now& now);
+
   /// Returns whether this process's reads are recent enough to relay changes.
   static bool IsRelaying(const GatewayTables& tables, const Now& now);
 
